--- /dev/null
+++ b/marblefold/__init__.py
@@ -0,0 +1,3 @@
+"""marblefold: a service mesh."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/marblefold/circuit_breaker/breaker.py
@@ -0,0 +1,138 @@
+"""The breaker of one upstream, as DESIGN asks for it.
+
+It learns what is normal from successful calls and looks at the calls in
+flight: when these, without the oldest, are on average older than the
+threshold, the circuit opens until that is no longer so.
+"""
+
+import enum
+from typing import NamedTuple, Protocol
+
+from marblefold.circuit_breaker.latency_statistics import LatencyStatistics
+from marblefold.circuit_breaker.work_tracker import Ticket, WorkTracker
+
+__all__ = ["Breaker", "BreakerConfig", "BreakerState", "Gate", "Passage"]
+
+
+class BreakerConfig(NamedTuple):
+    """Starting values; the operator's spec carries none of them."""
+
+    deviations: float = 5.0
+    trusted_hits: int = 100
+    least_outstanding: int = 5
+    window: int = 1000
+    # One call in this many passes while the circuit is open.
+    probe_every: int = 5
+    # No call is tracked for longer: the deadline of its request is far behind.
+    longest_seconds: float = 60.0
+
+
+class BreakerState(enum.Enum):
+    """Closed lets all calls pass, open lets a few."""
+
+    CLOSED = "closed"
+    OPEN = "open"
+
+
+class Passage(NamedTuple):
+    """The breaker's word on a call, with when to come back if refused."""
+
+    allowed: bool
+    retry_after: float
+
+
+class Gate(Protocol):
+    """What the request path asks of a breaker."""
+
+    def ask(self, now: float) -> Passage: ...
+
+    def begin(self, now: float, weight: float, what: str) -> Ticket: ...
+
+    def end(self, ticket: Ticket, now: float, success: bool) -> None: ...
+
+
+class Breaker:
+    """Watches the calls of this node toward one upstream."""
+
+    def __init__(self, config: BreakerConfig = BreakerConfig()) -> None:
+        self.state = BreakerState.CLOSED
+        self.opened_count = 0
+        self._config = config
+        self._tracker = WorkTracker()
+        self._statistics = LatencyStatistics(config.window)
+        self._refused_since_probe = 0
+
+    @property
+    def outstanding(self) -> int:
+        """How many calls are in flight."""
+        return len(self._tracker)
+
+    @property
+    def threshold(self) -> float | None:
+        """The learned threshold, once there is reason to trust it."""
+        if len(self._statistics) < self._config.trusted_hits:
+            return None
+        return self._statistics.mean + self._config.deviations * self._statistics.deviation
+
+    def begin(self, now: float, weight: float, what: str) -> Ticket:
+        """A call leaves toward the upstream."""
+        return self._tracker.take(now, weight, what)
+
+    def end(self, ticket: Ticket, now: float, success: bool) -> None:
+        """A call ended; only successes teach what is normal."""
+        if self._tracker.give_back(ticket) and success:
+            self._statistics.record((now - ticket.started) / ticket.weight)
+
+    def ask(self, now: float) -> Passage:
+        """Whether a new call may leave now."""
+        self._tracker.clean(now, self._config.longest_seconds)
+        self._change_state(self._judge(now))
+        if self.state is BreakerState.CLOSED:
+            return Passage(True, 0.0)
+        # Some calls must pass, else nothing would show that it is over.
+        if self._refused_since_probe >= self._config.probe_every - 1:
+            self._refused_since_probe = 0
+            return Passage(True, 0.0)
+        self._refused_since_probe += 1
+        return Passage(False, self._retry_after(now))
+
+    def overdue(self, now: float, longest: float) -> list[Ticket]:
+        """Calls that have gone on for longer than is sane, for the log."""
+        found = []
+        for ticket in self._tracker.oldest_first():
+            if now - ticket.started <= longest:
+                break
+            found.append(ticket)
+        return found
+
+    def _judge(self, now: float) -> BreakerState:
+        threshold = self.threshold
+        outstanding = len(self._tracker)
+        # Too little knowledge or too few calls: let the deadlines deal with it.
+        if threshold is None or outstanding < self._config.least_outstanding:
+            return BreakerState.CLOSED
+        total = 0.0
+        oldest = True
+        for ticket in self._tracker.oldest_first():
+            # The oldest may be one poisoned or rightly long call.
+            if oldest:
+                oldest = False
+                continue
+            total += (now - ticket.started) / ticket.weight
+        average = total / (outstanding - 1)
+        return BreakerState.OPEN if average > threshold else BreakerState.CLOSED
+
+    def _change_state(self, state: BreakerState) -> None:
+        """The one place where the state changes."""
+        if state is self.state:
+            return
+        self.state = state
+        self._refused_since_probe = 0
+        if state is BreakerState.OPEN:
+            self.opened_count += 1
+
+    def _retry_after(self, now: float) -> float:
+        # As the source says: as long as the longest call that goes on now.
+        for ticket in self._tracker.oldest_first():
+            return max(0.1, min(5.0, now - ticket.started))
+        return 0.1
--- /dev/null
+++ b/marblefold/command_line.py
@@ -0,0 +1,77 @@
+"""The command line of the three programs."""
+
+import asyncio
+import importlib
+import os
+
+from absl import flags
+
+import marblefold
+from marblefold.breakdowns import Breakdown
+
+__all__ = ["main"]
+
+# Each program is imported only when it is the one to run: starting is dear.
+_PROGRAMS = {
+    "proxy": ("marblefold.proxy.program", "ProxyProgram"),
+    "registry": ("marblefold.registry.program", "RegistryProgram"),
+    "store": ("marblefold.spec_store.program", "StoreProgram"),
+}
+
+FLAGS = flags.FLAGS
+flags.DEFINE_bool("check_settings", False, "Check the config file of the node and end.")
+flags.DEFINE_bool("version", False, "Print the version and end.")
+
+
+def _usage() -> str:
+    return (
+        "usage: python3 -m marblefold PROGRAM [--check_settings] [--version] [--help]\n"
+        f"PROGRAM is one of: {', '.join(sorted(_PROGRAMS))}\n"
+        "The config file is named by MARBLEFOLD_NODE_FILE.\n"
+    )
+
+
+def main(arguments: list[str]) -> int:
+    """Runs what the arguments ask for; the exit status of the process."""
+    if "--help" in arguments or "-h" in arguments:
+        print(_usage() + FLAGS.main_module_help())
+        return 0
+    try:
+        rest = FLAGS(arguments)
+    except flags.Error as error:
+        print(f"{error}\n{_usage()}")
+        return 2
+    if FLAGS.version:
+        print(f"marblefold {marblefold.__version__}")
+        return 0
+    if len(rest) != 2 or rest[1] not in _PROGRAMS:
+        print(_usage())
+        return 2
+    return _run(rest[1])
+
+
+def _run(name: str) -> int:
+    from marblefold.logs import log, start_logs
+    from marblefold.node_config.reading import read_config
+    from marblefold.node_config.watching import ConfigWatch
+
+    start_logs(name)
+    try:
+        config = read_config(os.environ)
+        if FLAGS.check_settings:
+            log.info("config is good", node=config.node_name)
+            return 0
+        module, program = _PROGRAMS[name]
+        kind = getattr(importlib.import_module(module), program)
+        asyncio.run(_serve(kind, ConfigWatch(config)))
+    except Breakdown as breakdown:
+        log.error("cannot run", step=breakdown.step, reason=breakdown.reason)
+        return 1
+    except OSError as error:
+        log.error("cannot run", step="listen", reason=str(error))
+        return 1
+    return 0
+
+
+async def _serve(kind, watch) -> None:
+    await kind(watch).run()
--- /dev/null
+++ b/marblefold/http_streams/answer.py
@@ -0,0 +1,53 @@
+"""The answer a downstream gets, as a small value, and its one writer."""
+
+from http import HTTPStatus
+from typing import NamedTuple
+
+from marblefold import wire_names
+from marblefold.inner_protocol.body_pipe import BodyPipe
+
+__all__ = ["Answer", "own_answer", "pack_head"]
+
+_REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
+
+
+class Answer(NamedTuple):
+    """An answer ready to be written; the body is at hand or in a pipe."""
+
+    status: int
+    reason: bytes = b""
+    header_block: bytes = b""
+    body: bytes = b""
+    pipe: BodyPipe | None = None
+    closes: bool = False
+    # The answer to HEAD tells a length without carrying the body.
+    is_bodiless: bool = False
+    # Called once the answer is written or given up.
+    release: object = None
+
+
+def own_answer(
+    status: int, text: str, attempt_id: str = "", retry_after: float | None = None,
+    closes: bool = False,
+) -> Answer:
+    """An answer of the mesh itself."""
+    block = b"Content-Type: text/plain\r\n"
+    if attempt_id:
+        block += wire_names.ATTEMPT_ID + b": " + attempt_id.encode("latin-1") + b"\r\n"
+    if retry_after is not None:
+        block += wire_names.RETRY_AFTER + b": %.3f\r\n" % max(0.001, retry_after)
+    return Answer(status, header_block=block, body=text.encode() + b"\n", closes=closes)
+
+
+def pack_head(answer: Answer, closes: bool, is_chunked: bool) -> bytes:
+    """The head of the answer on the wire."""
+    reason = answer.reason or _REASONS.get(answer.status, b"Unknown")
+    parts = [b"HTTP/1.1 %d " % answer.status, reason, b"\r\n", answer.header_block]
+    if is_chunked:
+        parts.append(b"Transfer-Encoding: chunked\r\n")
+    elif answer.status >= 200 and answer.status != 204 and not answer.is_bodiless:
+        parts.append(b"Content-Length: %d\r\n" % len(answer.body))
+    if closes:
+        parts.append(b"Connection: close\r\n")
+    parts.append(b"\r\n")
+    return b"".join(parts)
--- /dev/null
+++ b/marblefold/http_streams/call_router.py
@@ -0,0 +1,77 @@
+"""Sends calls of targets and operators to what serves them."""
+
+import json
+from typing import Awaitable, Callable, NamedTuple
+from urllib.parse import unquote
+
+from marblefold import wire_names
+from marblefold.http_streams.answer import Answer
+from marblefold.http_streams.downstream_request import BodyTooLarge, DownstreamRequest
+
+__all__ = ["Call", "CallRouter", "json_answer"]
+
+
+class Call(NamedTuple):
+    """One call of the outside, with its whole body."""
+
+    subject: str
+    body: bytes
+
+
+Serve = Callable[[Call], Awaitable[Answer]]
+
+
+def json_answer(status: int, document: object, retry_after: float | None = None) -> Answer:
+    """An answer that carries a document."""
+    block = b"Content-Type: application/json\r\n"
+    if retry_after is not None:
+        block += wire_names.RETRY_AFTER + b": %.3f\r\n" % retry_after
+    return Answer(status, header_block=block, body=json.dumps(document).encode())
+
+
+class _Route(NamedTuple):
+    """What serves a path, by method, with the most bytes of a body."""
+
+    serve: Serve
+    most_bytes: int
+
+
+class CallRouter:
+    """Knows each path once; other paths are 404, other methods 405."""
+
+    def __init__(self) -> None:
+        self._routes: dict[str, dict[str, _Route]] = {}
+
+    def add(self, method: str, path: str, serve: Serve, most_bytes: int = 4096) -> None:
+        """Serves the method at the path; {} at its end stands for a subject."""
+        self._routes.setdefault(path, {})[method] = _Route(serve, most_bytes)
+
+    async def handle(self, request: DownstreamRequest) -> Answer:
+        """The answer to any call."""
+        path, _sign, _query = request.path.partition("?")
+        methods, subject = self._find(path)
+        if methods is None:
+            return json_answer(404, {wire_names.REASON: f"no call at {path}"})
+        route = methods.get(request.method)
+        if route is None:
+            allowed = ", ".join(sorted(methods))
+            answer = json_answer(405, {wire_names.REASON: f"allowed here: {allowed}"})
+            return answer._replace(
+                header_block=answer.header_block + b"Allow: " + allowed.encode() + b"\r\n")
+        try:
+            body, _whole = await request.gather(route.most_bytes + 1, route.most_bytes)
+        except BodyTooLarge:
+            document = {wire_names.REASON: f"more than {route.most_bytes} bytes"}
+            return json_answer(413, document)._replace(closes=True)
+        except ConnectionError:
+            return json_answer(400, {wire_names.REASON: "the body broke off"})
+        return await route.serve(Call(subject, body))
+
+    def _find(self, path: str) -> tuple[dict[str, _Route] | None, str]:
+        methods = self._routes.get(path)
+        if methods is not None:
+            return methods, ""
+        parent, _slash, subject = path.rpartition("/")
+        if not subject:
+            return None, ""
+        return self._routes.get(parent + "/{}"), unquote(subject)
--- /dev/null
+++ b/marblefold/http_streams/downstream_request.py
@@ -0,0 +1,90 @@
+"""A request as a downstream sent it."""
+
+import asyncio
+from typing import Callable
+
+from aiohttp.http_exceptions import HttpProcessingError
+from aiohttp.streams import EMPTY_PAYLOAD
+
+from marblefold import wire_names
+from marblefold.http_streams.heads import REQUEST_ONLY_HERE, find_header, make_header_block
+
+__all__ = ["BodyTooLarge", "DownstreamRequest"]
+
+
+class BodyTooLarge(Exception):
+    """The body is over what the operator allows."""
+
+
+class DownstreamRequest:
+    """The head of a request, and its body as far as it has come."""
+
+    def __init__(self, message, payload, arrived: float, write_continue: Callable) -> None:
+        self.method: str = message.method
+        self.path: str = message.path
+        self.arrived = arrived
+        self.headers = message.raw_headers
+        self.closes: bool = message.should_close
+        self.is_old_version = message.version < (1, 1)
+        self.host = message.headers.get("Host", "")
+        self.attempt_id = message.headers.get("Attempt-Id", "")
+        self.body_length = int(message.headers.get("Content-Length", -1))
+        self.has_body = payload is not EMPTY_PAYLOAD
+        self.is_upgrade: bool = message.upgrade
+        self._payload = payload
+        self._wants_continue = message.headers.get("Expect", "").lower() == "100-continue"
+        self._write_continue = write_continue
+        self._taken = 0
+
+    @property
+    def deadline_ms(self) -> float | None:
+        """How long the downstream waits, if it says so in a form we can read."""
+        text = find_header(self.headers, wire_names.DEADLINE_MS)
+        try:
+            value = float(text) if text is not None else None
+        except ValueError:
+            return None
+        return value if value is not None and 0 <= value < 1e10 else None
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether nothing of the body is still to come."""
+        return not self.has_body or self._payload.at_eof()
+
+    def header_block(self) -> bytes:
+        """The header lines to pass along."""
+        return make_header_block(self.headers, REQUEST_ONLY_HERE)
+
+    async def read_chunk(self, most: int) -> bytes:
+        """The next part of the body; nothing at its end."""
+        if not self.has_body:
+            return b""
+        if self._wants_continue:
+            self._wants_continue = False
+            self._write_continue()
+        try:
+            chunk = await self._payload.readany()
+        except HttpProcessingError as error:
+            raise ConnectionError(str(error)) from error
+        self._taken += len(chunk)
+        if self._taken > most:
+            raise BodyTooLarge()
+        return chunk
+
+    async def gather(self, bound: int, most: int) -> tuple[bytes, bool]:
+        """What of the body fits the bound, and whether that is all of it."""
+        if not self.has_body:
+            return b"", True
+        if self.body_length > most:
+            raise BodyTooLarge()
+        parts: list[bytes] = []
+        size = 0
+        while size < bound:
+            chunk = await self.read_chunk(most)
+            if not chunk:
+                return b"".join(parts), True
+            parts.append(chunk)
+            size += len(chunk)
+        return b"".join(parts), self.is_whole
+
+
--- /dev/null
+++ b/marblefold/http_streams/downstream_stream.py
@@ -0,0 +1,228 @@
+"""One stream from a downstream: requests in, answers out in their order.
+
+The parser is aiohttp's.  Its own server answers pipelined requests one by
+one; here repeatable ones behind each other run together, since a downstream
+that sends several at once waits for them all.
+"""
+
+import asyncio
+import time
+from collections import deque
+from typing import Awaitable, Callable, Protocol
+
+from aiohttp.base_protocol import BaseProtocol
+from aiohttp.http import HttpRequestParser
+from aiohttp.http_exceptions import BadStatusLine, HttpProcessingError, LineTooLong
+
+from marblefold.breakdowns import Breakdown
+from marblefold.http_streams.answer import Answer, own_answer, pack_head
+from marblefold.http_streams.downstream_request import DownstreamRequest
+
+__all__ = ["DownstreamStream", "StreamKeeper"]
+
+_PARSER_BUFFER = 128 * 1024
+_MOST_TOGETHER = 8
+_REPEATABLE = ("GET", "HEAD", "OPTIONS")
+
+
+class StreamKeeper(Protocol):
+    """What a stream asks of the server that accepted it."""
+
+    is_leaving: bool
+    header_bytes: int
+
+    def on_made(self, stream: "DownstreamStream") -> None: ...
+
+    def on_lost(self, stream: "DownstreamStream") -> None: ...
+
+    def handle(self, request: DownstreamRequest) -> Awaitable[Answer]: ...
+
+
+class _Place:
+    """The place of one request in the order of answers."""
+
+    __slots__ = ("request", "task", "answer")
+
+    def __init__(self, request: DownstreamRequest | None) -> None:
+        self.request = request
+        self.task: asyncio.Task | None = None
+        self.answer: Answer | None = None
+
+
+class DownstreamStream(BaseProtocol):
+    """Owns one accepted connection."""
+
+    def __init__(self, keeper: StreamKeeper) -> None:
+        loop = asyncio.get_running_loop()
+        super().__init__(loop)
+        self._keeper = keeper
+        self._parser = HttpRequestParser(
+            self, loop, _PARSER_BUFFER,
+            max_line_size=keeper.header_bytes, max_field_size=keeper.header_bytes,
+        )
+        self._places: deque[_Place] = deque()
+        self._is_closing = False
+        self._streaming: asyncio.Task | None = None
+        self._payload = None
+        self.quiet_since = time.monotonic()
+        # When the first bytes of a head came that is not whole yet.
+        self.head_since: float | None = None
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is being served."""
+        return not self._places and self._streaming is None
+
+    def connection_made(self, transport) -> None:
+        super().connection_made(transport)
+        self._keeper.on_made(self)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        super().connection_lost(error)
+        self._is_closing = True
+        if self._payload is not None:
+            self._payload.set_exception(ConnectionResetError("downstream left"))
+        # Nobody waits for these any more: stop the work at the targets too.
+        for place in self._places:
+            if place.task is not None:
+                place.task.cancel()
+        if self._streaming is not None:
+            self._streaming.cancel()
+        self._places.clear()
+        self._keeper.on_lost(self)
+
+    def data_received(self, data: bytes) -> None:
+        if self._is_closing:
+            return
+        self.quiet_since = time.monotonic()
+        try:
+            messages, _upgraded, _tail = self._parser.feed_data(data)
+        except (HttpProcessingError, ValueError) as error:
+            self._refuse_bytes(error)
+            return
+        for message, payload in messages:
+            self._payload = payload
+            size = sum(len(name) + len(value) + 4 for name, value in message.raw_headers)
+            if size > self._keeper.header_bytes:
+                self._refuse_bytes(LineTooLong("head", self._keeper.header_bytes))
+                return
+            self._places.append(_Place(DownstreamRequest(
+                message, payload, self.quiet_since, self._write_continue)))
+        if messages:
+            self.head_since = None
+            self._start_places()
+        elif data and not self._places and self.head_since is None:
+            self.head_since = self.quiet_since
+
+    def refuse_slow_head(self) -> None:
+        """The head took too long to come."""
+        self._append_answer(own_answer(408, "the head took too long", closes=True))
+
+    def close_if_idle(self) -> bool:
+        """Closes the stream unless a request is being served on it."""
+        if not self.is_idle or self.head_since is not None:
+            return False
+        self._close()
+        return True
+
+    def _close(self) -> None:
+        self._is_closing = True
+        if self.transport is not None:
+            self.transport.close()
+
+    def _refuse_bytes(self, error: Exception) -> None:
+        # Whatever follows bytes that are no request cannot be told apart.
+        is_long = isinstance(error, LineTooLong) and not isinstance(error, BadStatusLine)
+        status = 431 if is_long else 400
+        self._append_answer(own_answer(status, "the request cannot be read", closes=True))
+
+    def _append_answer(self, answer: Answer) -> None:
+        place = _Place(None)
+        place.answer = answer
+        self._places.append(place)
+        self._flush()
+
+    def _write_continue(self) -> None:
+        if self.transport is not None:
+            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def _start_places(self) -> None:
+        together = 0
+        for place in self._places:
+            request = place.request
+            if request is None:
+                break
+            is_repeatable = request.method in _REPEATABLE and not request.has_body
+            # What may not be repeated keeps its turn: alone and in order.
+            if together and not is_repeatable:
+                break
+            if place.task is None and place.answer is None:
+                place.task = self._loop.create_task(self._serve(place))
+            together += 1
+            if not is_repeatable or together >= _MOST_TOGETHER:
+                break
+
+    async def _serve(self, place: _Place) -> None:
+        place.answer = await self._keeper.handle(place.request)
+        self._flush()
+
+    def _flush(self) -> None:
+        """Writes the answers whose turn has come."""
+        while self._places and self._streaming is None and not self._is_closing:
+            place = self._places[0]
+            answer = place.answer
+            if answer is None:
+                break
+            if answer.pipe is not None:
+                self._streaming = self._loop.create_task(self._stream(place, answer))
+                break
+            closes = self._closes(place, answer)
+            self.transport.write(pack_head(answer, closes, False) + answer.body)
+            self._finish(closes)
+        if not self._is_closing:
+            self._start_places()
+
+    def _closes(self, place: _Place, answer: Answer) -> bool:
+        request = place.request
+        if request is None or answer.closes or request.closes:
+            return True
+        # A body that nobody read to its end would be taken for a request.
+        if not request.is_whole:
+            return True
+        return self._keeper.is_leaving and len(self._places) == 1
+
+    def _finish(self, closes: bool) -> None:
+        self._places.popleft()
+        self.quiet_since = time.monotonic()
+        if closes:
+            for place in self._places:
+                if place.task is not None:
+                    place.task.cancel()
+            self._places.clear()
+            self._close()
+
+    async def _stream(self, place: _Place, answer: Answer) -> None:
+        is_chunked = not place.request.is_old_version
+        closes = self._closes(place, answer) or not is_chunked
+        try:
+            self.transport.write(pack_head(answer, closes, is_chunked))
+            while chunk := await answer.pipe.read():
+                if is_chunked:
+                    chunk = b"%x\r\n" % len(chunk) + chunk + b"\r\n"
+                self.transport.write(chunk)
+                await self._drain_helper()
+            if is_chunked:
+                self.transport.write(b"0\r\n\r\n")
+        except (Breakdown, ConnectionError):
+            # An early end must never look complete: reset the stream.
+            if self.transport is not None:
+                self.transport.abort()
+            return
+        finally:
+            self._streaming = None
+            if answer.release is not None:
+                answer.release()
+        self._finish(closes)
+        self._flush()
+
+
--- /dev/null
+++ b/marblefold/http_streams/target_stream.py
@@ -0,0 +1,181 @@
+"""One stream to the target beside this proxy: one request at a time.
+
+The parser is aiohttp's.  Its client is not used: it repeats requests on its
+own when a reused stream breaks, and here nobody but the request path may.
+"""
+
+import asyncio
+import enum
+import time
+from typing import NamedTuple
+
+from aiohttp.base_protocol import BaseProtocol
+from aiohttp.http import HttpResponseParser
+from aiohttp.http_exceptions import HttpProcessingError
+
+from marblefold import wire_names
+from marblefold.breakdowns import Breakdown
+from marblefold.http_streams.heads import find_header
+
+__all__ = ["StreamState", "TargetAnswer", "TargetStream"]
+
+_PARSER_BUFFER = 256 * 1024
+# A kept stream is dropped so long before the target would close it.
+_KEEP_MARGIN_SECONDS = 0.7
+_LONGEST_KEPT_SECONDS = 30.0
+
+
+class StreamState(enum.Enum):
+    """What a stream to a target may be used for."""
+
+    IDLE = "idle"
+    BUSY = "busy"
+    # Bytes came that belong to no request: finish, then never use again.
+    POISONED = "poisoned"
+    CLOSED = "closed"
+
+
+class TargetAnswer(NamedTuple):
+    """The head of a target's answer, with its body still to be read."""
+
+    status: int
+    reason: str
+    headers: tuple
+    payload: object
+    is_not_executed: bool
+
+
+class TargetStream(BaseProtocol):
+    """Owns one connection to a target."""
+
+    def __init__(self) -> None:
+        loop = asyncio.get_running_loop()
+        super().__init__(loop)
+        self._parser = HttpResponseParser(
+            self, loop, _PARSER_BUFFER, payload_exception=ConnectionError,
+            auto_decompress=False, max_line_size=32768, max_field_size=32768,
+        )
+        self.state = StreamState.IDLE
+        self.usable_until = time.monotonic() + 1.0
+        self._attempt_id: bytes | None = None
+        self._waiter: asyncio.Future[TargetAnswer] | None = None
+        self._payload = None
+
+    def change_state(self, state: StreamState) -> None:
+        """The one place where the state changes; closed stays closed."""
+        if self.state is StreamState.CLOSED:
+            return
+        # What poisoned a stream does not wear off.
+        if self.state is StreamState.POISONED and state is not StreamState.CLOSED:
+            return
+        self.state = state
+
+    async def begin(self, head: bytes, attempt_id: bytes | None) -> None:
+        """Sends the head of a request, perhaps with its body behind it."""
+        self.change_state(StreamState.BUSY)
+        self._attempt_id = attempt_id
+        self._waiter = self._loop.create_future()
+        self.transport.write(head)
+        if self._paused:
+            await self._drain_helper()
+
+    async def send(self, chunk: bytes) -> None:
+        """Sends more of the body."""
+        if self.transport is None:
+            raise Breakdown("target", "closed while the body was sent")
+        self.transport.write(chunk)
+        if self._paused:
+            await self._drain_helper()
+
+    async def answer(self) -> TargetAnswer:
+        """The head of the answer that belongs to the request."""
+        return await self._waiter
+
+    def finish(self) -> bool:
+        """The answer was read whole; tells whether the stream may be kept."""
+        self._waiter = None
+        self._payload = None
+        if self.state is StreamState.BUSY and time.monotonic() < self.usable_until:
+            self.change_state(StreamState.IDLE)
+            return True
+        self.close()
+        return False
+
+    def close(self) -> None:
+        """Ends the stream; a target at work on a request then drops it."""
+        self.change_state(StreamState.CLOSED)
+        if self.transport is not None:
+            self.transport.abort()
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            messages, _upgraded, _tail = self._parser.feed_data(data)
+        except (HttpProcessingError, ValueError) as error:
+            self._break_off(Breakdown("target", f"bytes that are no answer: {type(error).__name__}"))
+            return
+        for message, payload in messages:
+            self._take(message, payload)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        super().connection_lost(error)
+        self.change_state(StreamState.CLOSED)
+        self._break_off(Breakdown("target", f"closed: {error or 'without a word'}"))
+
+    def _take(self, message, payload) -> None:
+        waiter = self._waiter
+        if waiter is None or waiter.done():
+            # A surplus answer belongs to no request.
+            self._poison()
+            return
+        if message.code < 200:
+            return
+        headers = message.raw_headers
+        is_not_executed = message.code == 421 or find_header(
+            headers, wire_names.NOT_EXECUTED) is not None
+        told = find_header(headers, wire_names.ATTEMPT_ID)
+        if self._attempt_id is not None and told != self._attempt_id:
+            # Only a refusal may come without the id; another id is an answer
+            # to another request, and ours may still come behind it.
+            if told is not None or not is_not_executed:
+                self._poison()
+                if told is None:
+                    self._break_off(Breakdown("target", "an answer without an id"))
+                return
+        if not _has_end(message):
+            self._break_off(Breakdown("target", "an answer without an end"))
+            return
+        self._note_keeping(message)
+        self._payload = payload
+        waiter.set_result(TargetAnswer(
+            message.code, message.reason, headers, payload, is_not_executed))
+
+    def _note_keeping(self, message) -> None:
+        kept = _LONGEST_KEPT_SECONDS
+        if message.should_close:
+            kept = 0.0
+        told = message.headers.get("Keep-Alive", "")
+        for part in told.split(","):
+            name, _sign, value = part.strip().partition("=")
+            if name.lower() == "timeout" and value.isdigit():
+                kept = min(kept, float(value) - _KEEP_MARGIN_SECONDS)
+        self.usable_until = time.monotonic() + kept
+
+    def _poison(self) -> None:
+        self.change_state(StreamState.POISONED)
+        # Nobody uses it now, so nothing is lost by ending it at once.
+        if self._waiter is None:
+            self.close()
+
+    def _break_off(self, breakdown: Breakdown) -> None:
+        self.close()
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_exception(breakdown)
+            self._waiter.exception()
+        if self._payload is not None and not self._payload.is_eof():
+            self._payload.set_exception(ConnectionResetError("answer broken off"))
+
+
+def _has_end(message) -> bool:
+    if message.code in (204, 304) or message.chunked:
+        return True
+    return "Content-Length" in message.headers
--- /dev/null
+++ b/marblefold/inner_protocol/body_pipe.py
@@ -0,0 +1,58 @@
+"""A body on its way over a shared stream, bounded by credit.
+
+Streams between mates carry many exchanges, so a slow reader of one body must
+not stop the others: its sender may only send what the reader granted.
+"""
+
+import asyncio
+from collections import deque
+
+from marblefold.breakdowns import Breakdown
+
+__all__ = ["BodyPipe", "FIRST_CREDIT"]
+
+FIRST_CREDIT = 256 * 1024
+
+
+class BodyPipe:
+    """The receiving end of a body: chunks come in, one reader takes them."""
+
+    def __init__(self, grant=None) -> None:
+        self._chunks: deque[bytes] = deque()
+        self._waiter: asyncio.Future | None = None
+        self._ended = False
+        self._broken: Breakdown | None = None
+        self._grant = grant
+
+    def feed(self, chunk: bytes) -> None:
+        """Takes in a chunk."""
+        self._chunks.append(chunk)
+        self._wake()
+
+    def finish(self) -> None:
+        """The body is whole."""
+        self._ended = True
+        self._wake()
+
+    def break_off(self, breakdown: Breakdown) -> None:
+        """The rest of the body will not come."""
+        self._broken = breakdown
+        self._wake()
+
+    async def read(self) -> bytes:
+        """The next chunk, or nothing at the end of a whole body."""
+        while not self._chunks:
+            if self._ended:
+                return b""
+            if self._broken is not None:
+                raise self._broken
+            self._waiter = asyncio.get_running_loop().create_future()
+            await self._waiter
+        chunk = self._chunks.popleft()
+        if self._grant is not None:
+            self._grant(len(chunk))
+        return chunk
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
--- /dev/null
+++ b/marblefold/inner_protocol/messages.py
@@ -0,0 +1,26 @@
+"""Tells the protobuf messages apart on a stream: one byte says which it is."""
+
+from marblefold.inner_protocol import messages_pb2 as kinds
+
+__all__ = ["kinds", "pack_message", "unpack_message"]
+
+_ORDER = (
+    kinds.TargetNotice, kinds.Follow, kinds.Feed, kinds.StoreCall, kinds.StoreAnswer,
+    kinds.WordCall, kinds.WordAnswer, kinds.Accepted, kinds.Probe,
+)
+_CODES = {kind: code for code, kind in enumerate(_ORDER)}
+
+
+def pack_message(message) -> bytes:
+    """The bytes of a message with its kind."""
+    return bytes((_CODES[type(message)],)) + message.SerializeToString()
+
+
+def unpack_message(payload: bytes):
+    """The message in the bytes; ValueError if there is none."""
+    if not payload or payload[0] >= len(_ORDER):
+        raise ValueError("no message of ours")
+    try:
+        return _ORDER[payload[0]].FromString(payload[1:])
+    except Exception as error:
+        raise ValueError(f"message cannot be read: {error}") from error
--- /dev/null
+++ b/marblefold/inner_protocol/ports.py
@@ -0,0 +1,14 @@
+"""Which of a machine's inner ports each program listens at."""
+
+from marblefold.node_config.reading import NodeConfig
+
+__all__ = ["PROXY", "REGISTRY", "STORE", "inner_address"]
+
+PROXY = 0
+REGISTRY = 1
+STORE = 2
+
+
+def inner_address(host: str, config: NodeConfig, program: int) -> str:
+    """Where the program listens for mates on the host; ports are alike on all."""
+    return f"{host}:{config.inner_ports[0] + program}"
--- /dev/null
+++ b/marblefold/logs.py
@@ -0,0 +1,32 @@
+"""Logs: one JSON line an event on standard output."""
+
+import logging
+import sys
+
+import structlog
+
+__all__ = ["start_logs", "log"]
+
+log = structlog.get_logger()
+
+
+def start_logs(program: str) -> None:
+    """Sets how every event of this process is written."""
+
+    def name_program(_logger, _method, event):
+        event["program"] = program
+        return event
+
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            name_program,
+            structlog.processors.format_exc_info,
+            structlog.processors.JSONRenderer(),
+        ],
+        # Filtering by level costs nothing for events that are not written.
+        wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
+        logger_factory=structlog.WriteLoggerFactory(file=sys.stdout),
+        cache_logger_on_first_use=True,
+    )
--- /dev/null
+++ b/marblefold/node_config/reading.py
@@ -0,0 +1,218 @@
+"""Reads and checks the config file that a node is given.
+
+Each line is a.b=value.  Fields we do not know are skipped, fields we need
+are checked for type and range, and every fault names its field.
+"""
+
+import os
+from datetime import timedelta
+from typing import Callable, Mapping as MappingType, NamedTuple
+
+from marblefold import wire_names
+from marblefold.breakdowns import Breakdown
+
+__all__ = ["Address", "Bounds", "Limits", "NodeConfig", "read_config", "parse_config"]
+
+
+class Address(NamedTuple):
+    """Where something listens."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+    @classmethod
+    def parse(cls, text: str) -> "Address":
+        """Reads host:port; raises ValueError on anything else."""
+        host, separator, port = text.rpartition(":")
+        if not separator or not host or not 0 < int(port) < 65536:
+            raise ValueError(f"not an address: {text!r}")
+        return cls(host, int(port))
+
+
+class Bounds(NamedTuple):
+    """The figures of the rules in force."""
+
+    contact_window: timedelta
+    acknowledgement_time: timedelta
+    catch_up: timedelta
+    drain_time: timedelta
+    grace_period: timedelta
+    loss_slack: timedelta
+    spec_apply: timedelta
+    retry_ratio: float
+    retry_window: timedelta
+    retry_slack: float
+    cold_overage: float
+    cold_slack: float
+    evacuation: timedelta
+    recovery: timedelta
+
+
+class Limits(NamedTuple):
+    """What the machine grants this process."""
+
+    memory_mb: float
+    file_descriptors: int
+
+
+class NodeConfig(NamedTuple):
+    """All that a process is told when it starts."""
+
+    node_name: str
+    zone: str
+    region: str
+    zone_regions: dict
+    host: str
+    listen: dict
+    inner_ports: tuple[int, int]
+    seeds: tuple[Address, ...]
+    is_first_start: bool
+    is_loss_counted: bool
+    beat_interval: timedelta
+    bounds: Bounds
+    limits: Limits
+    data_directory: str
+    app_address: Address | None
+    upstream: str
+
+
+def _milliseconds(text: str) -> timedelta:
+    return timedelta(milliseconds=_positive(text))
+
+
+def _seconds(text: str) -> timedelta:
+    return timedelta(seconds=_positive(text))
+
+
+def _positive(text: str) -> float:
+    value = float(text)
+    if not 0 <= value < 1e9:
+        raise ValueError("out of range")
+    return value
+
+
+def _whole(text: str) -> int:
+    value = int(text)
+    if value < 0:
+        raise ValueError("below zero")
+    return value
+
+
+def _truth(text: str) -> bool:
+    if text not in ("true", "false"):
+        raise ValueError("neither true nor false")
+    return text == "true"
+
+
+def _word(text: str) -> str:
+    if not text:
+        raise ValueError("empty")
+    return text
+
+
+def _port_range(text: str) -> tuple[int, int]:
+    first, last = (int(part) for part in text.split(","))
+    if not 0 < first <= last < 65536:
+        raise ValueError("not a range of ports")
+    return first, last
+
+
+def _addresses(text: str) -> tuple[Address, ...]:
+    return tuple(Address.parse(part.strip()) for part in text.split(",") if part.strip())
+
+
+class _Lines:
+    """The lines of a config file, asked for by name."""
+
+    def __init__(self, text: str) -> None:
+        self._values = {}
+        for line in text.splitlines():
+            name, separator, value = line.strip().partition("=")
+            # A line without a sign of equality is no field we could know.
+            if separator and not name.startswith("#"):
+                self._values[name.strip()] = value.strip()
+
+    def get(self, name: str, convert: Callable, default: object = None):
+        """The converted field; without a default a missing one is a breakdown."""
+        text = self._values.get(name)
+        if text is None:
+            if default is None:
+                raise Breakdown("config", f"field {name} is missing")
+            return default
+        try:
+            return convert(text)
+        except ValueError as error:
+            raise Breakdown("config", f"field {name} is bad: {error}") from error
+
+    def under(self, prefix: str) -> dict:
+        """All fields that begin with the prefix, by what follows it."""
+        return {
+            name[len(prefix):]: value
+            for name, value in self._values.items()
+            if name.startswith(prefix)
+        }
+
+
+def _read_bounds(lines: _Lines) -> Bounds:
+    return Bounds(
+        contact_window=lines.get("bounds.contact-window-ms", _milliseconds),
+        acknowledgement_time=lines.get("bounds.ack-timeout-ms", _milliseconds),
+        catch_up=lines.get("bounds.catch-up-s", _seconds, timedelta(seconds=4)),
+        drain_time=lines.get("bounds.drain-timeout-ms", _milliseconds),
+        grace_period=lines.get("bounds.grace-period-s", _seconds),
+        loss_slack=lines.get("bounds.loss-slack-ms", _milliseconds),
+        spec_apply=lines.get("bounds.spec-apply-ms", _milliseconds),
+        retry_ratio=lines.get("bounds.retry-budget-ratio", _positive),
+        retry_window=lines.get("bounds.retry-window-s", _seconds),
+        retry_slack=lines.get("bounds.retry-budget-slack", _positive),
+        cold_overage=lines.get("bounds.cold-overage", _positive),
+        cold_slack=lines.get("bounds.cold-slack", _positive),
+        evacuation=lines.get("bounds.evacuation-ms", _milliseconds),
+        recovery=lines.get("bounds.recovery-s", _seconds, timedelta(seconds=15)),
+    )
+
+
+def parse_config(text: str) -> NodeConfig:
+    """The checked config of a node, or a Breakdown that names the bad field."""
+    lines = _Lines(text)
+    listen = {}
+    for name in lines.under("listen-addresses."):
+        listen[name] = lines.get("listen-addresses." + name, Address.parse)
+    return NodeConfig(
+        node_name=lines.get("node-name", _word),
+        zone=lines.get("zone", _word),
+        region=lines.get("region", _word),
+        zone_regions=lines.under("zones."),
+        host=lines.get("ip-address", _word),
+        listen=listen,
+        inner_ports=lines.get("internal-port-range", _port_range),
+        seeds=lines.get("seed-mates", _addresses),
+        is_first_start=lines.get("initial-start", _truth),
+        is_loss_counted=lines.get("loss-counted", _truth, False),
+        beat_interval=lines.get("beat-wakeup-ms", _milliseconds),
+        bounds=_read_bounds(lines),
+        limits=Limits(
+            memory_mb=lines.get("limits.memory-mb", _positive),
+            file_descriptors=lines.get("limits.max-file-descriptors", _whole),
+        ),
+        data_directory=lines.get("data-directory", _word, ""),
+        app_address=lines.get("app-address", Address.parse, ""),
+        upstream=lines.get("upstream", _word, ""),
+    )
+
+
+def read_config(environment: MappingType[str, str]) -> NodeConfig:
+    """Reads the file that the environment names."""
+    path = environment.get(wire_names.CONFIG_FILE_VARIABLE)
+    if not path:
+        raise Breakdown("config", f"variable {wire_names.CONFIG_FILE_VARIABLE} is not set")
+    try:
+        with open(path, encoding="utf-8") as file:
+            return parse_config(file.read())
+    except OSError as error:
+        raise Breakdown("config", f"file {path}: {os.strerror(error.errno or 0)}") from error
+    except UnicodeDecodeError as error:
+        raise Breakdown("config", f"file {path} is not text") from error
--- /dev/null
+++ b/marblefold/node_config/watching.py
@@ -0,0 +1,59 @@
+"""Takes up a changed config file, with a signal or without one."""
+
+import asyncio
+import os
+from datetime import timedelta
+from typing import Callable
+
+from marblefold import wire_names
+from marblefold.breakdowns import Breakdown
+from marblefold.logs import log
+from marblefold.node_config.reading import NodeConfig, read_config
+
+__all__ = ["ConfigWatch"]
+
+_LOOK_EVERY = timedelta(seconds=1)
+
+
+class ConfigWatch:
+    """Holds the config in force and rereads it when its file changes."""
+
+    def __init__(self, config: NodeConfig, environment=os.environ) -> None:
+        self.config = config
+        self._environment = environment
+        self._listeners: list[Callable[[NodeConfig], None]] = []
+        self._mark = self._read_mark()
+
+    def listen(self, listener: Callable[[NodeConfig], None]) -> None:
+        """Calls the listener with every config taken up from now on."""
+        self._listeners.append(listener)
+
+    def reread(self) -> None:
+        """Takes up the file as it stands; a bad one changes nothing."""
+        self._mark = self._read_mark()
+        try:
+            config = read_config(self._environment)
+        except Breakdown as breakdown:
+            # What was in force serves on: a half-written file must not end us.
+            log.warning("config kept", reason=breakdown.reason)
+            return
+        if config == self.config:
+            return
+        self.config = config
+        log.info("config taken up", node=config.node_name)
+        for listener in self._listeners:
+            listener(config)
+
+    async def run(self) -> None:
+        """Looks for a change without a signal, for ever."""
+        while True:
+            await asyncio.sleep(_LOOK_EVERY.total_seconds())
+            if self._read_mark() != self._mark:
+                self.reread()
+
+    def _read_mark(self):
+        try:
+            status = os.stat(self._environment.get(wire_names.CONFIG_FILE_VARIABLE, ""))
+        except OSError:
+            return None
+        return status.st_mtime_ns, status.st_size, status.st_ino
--- /dev/null
+++ b/marblefold/operator_spec/reading.py
@@ -0,0 +1,95 @@
+"""Reads a spec from the operator's bytes and finds all that is wrong with it."""
+
+import json
+from datetime import timedelta
+
+import cattrs
+from cattrs.gen import make_dict_structure_fn, override
+
+from marblefold.breakdowns import Breakdown
+from marblefold.operator_spec.checking import find_faults
+from marblefold.operator_spec.model import Limits, Mapping, Spec, Split, Upstream
+
+__all__ = ["InvalidSpec", "read_spec"]
+
+
+class InvalidSpec(ExceptionGroup):
+    """All the faults of one spec, each a Breakdown with its place."""
+
+    @property
+    def faults(self) -> list[str]:
+        """The faults as lines for the operator."""
+        return [fault.reason for fault in self.exceptions]
+
+    def derive(self, exceptions):
+        return InvalidSpec(self.message, exceptions)
+
+
+def _strict_number(value, _kind) -> float:
+    # A text that looks like a number is a mistake, never a number.
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        raise ValueError(f"not a number: {value!r}")
+    if value != value or abs(value) > 1e15:
+        raise ValueError(f"out of range: {value!r}")
+    return float(value)
+
+
+def _strict_whole(value, kind) -> int:
+    number = _strict_number(value, kind)
+    if number != int(number):
+        raise ValueError(f"not a whole number: {value!r}")
+    return int(number)
+
+
+def _strict_text(value, _kind) -> str:
+    if not isinstance(value, str):
+        raise ValueError(f"not a text: {value!r}")
+    return value
+
+
+def _milliseconds(value, kind) -> timedelta:
+    return timedelta(milliseconds=_strict_number(value, kind))
+
+
+def _make_converter() -> cattrs.Converter:
+    converter = cattrs.Converter(detailed_validation=True)
+    converter.register_structure_hook(float, _strict_number)
+    converter.register_structure_hook(int, _strict_whole)
+    converter.register_structure_hook(str, _strict_text)
+    converter.register_structure_hook(timedelta, _milliseconds)
+    for kind in (Split, Upstream, Limits, Mapping, Spec):
+        names = {}
+        for field in kind.__attrs_attrs__:
+            names[field.name] = override(rename=field.name.replace("_", "-"))
+        # The one duration that the operator gives in seconds.
+        if kind is Upstream:
+            names["cold_start_s"] = override(
+                rename="cold-start-s",
+                struct_hook=lambda value, of: timedelta(seconds=_strict_number(value, of)),
+            )
+        converter.register_structure_hook(
+            kind, make_dict_structure_fn(kind, converter, **names)
+        )
+    return converter
+
+
+_converter = _make_converter()
+
+
+def read_spec(body: bytes) -> Spec:
+    """The spec in the body, or InvalidSpec with every fault found."""
+    try:
+        document = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        raise InvalidSpec("spec", [Breakdown("read spec", f"body: {error}")]) from error
+    if not isinstance(document, dict):
+        raise InvalidSpec("spec", [Breakdown("read spec", "body: not an object")])
+    try:
+        spec = _converter.structure(document, Spec)
+    except cattrs.BaseValidationError as error:
+        faults = [Breakdown("read spec", line) for line in cattrs.transform_error(error)]
+        raise InvalidSpec("spec", faults) from error
+    faults = [Breakdown("check spec", line) for line in find_faults(spec)]
+    if faults:
+        raise InvalidSpec("spec", faults)
+    return spec
--- /dev/null
+++ b/marblefold/proxy/beats.py
@@ -0,0 +1,67 @@
+"""Takes the beats of the target beside this proxy."""
+
+import json
+from datetime import timedelta
+
+from marblefold import wire_names
+from marblefold.http_streams.answer import Answer
+from marblefold.http_streams.call_router import Call, CallRouter, json_answer
+from marblefold.request_path.local_target import Beat, LocalTarget
+
+__all__ = ["BeatCalls", "read_beat"]
+
+_LARGEST_BEAT = 4096
+
+
+def read_beat(instance: str, body: bytes) -> Beat:
+    """The beat in the body; ValueError names what is wrong with it."""
+    document = json.loads(body)
+    if not isinstance(document, dict):
+        raise ValueError("not an object")
+
+    def field(name: str, kind: type, default=None):
+        value = document.get(name, default)
+        # A truth is a whole number to Python, but not to a target.
+        if not isinstance(value, kind) or isinstance(value, bool):
+            raise ValueError(f"{name}: missing or of the wrong kind")
+        return value
+
+    state = field(wire_names.STATE, str)
+    if state not in (wire_names.READY, wire_names.DRAINING):
+        raise ValueError(f"{wire_names.STATE}: {state!r}")
+    return Beat(
+        instance=instance,
+        upstream=field(wire_names.UPSTREAM, str),
+        address=field(wire_names.ADDRESS, str),
+        zone=field(wire_names.ZONE, str, ""),
+        slots=int(field(wire_names.CAPACITY_SLOTS, (int, float))),
+        is_draining=state == wire_names.DRAINING,
+        cold=timedelta(milliseconds=field(wire_names.COLD_REMAINING_MS, (int, float), 0)),
+        number=int(field(wire_names.BEAT_NUMBER, (int, float))),
+    )
+
+
+class BeatCalls:
+    """The calls that targets make, served from the local state at once."""
+
+    def __init__(self, target: LocalTarget, own_zone: str) -> None:
+        self._target = target
+        self._own_zone = own_zone
+
+    def add_to(self, router: CallRouter) -> None:
+        """Serves these calls at the router."""
+        router.add("PUT", wire_names.TARGET_PATH, self._beat, _LARGEST_BEAT)
+        router.add("DELETE", wire_names.TARGET_PATH, self._leave, _LARGEST_BEAT)
+
+    async def _beat(self, call: Call) -> Answer:
+        try:
+            beat = read_beat(call.subject, call.body)
+        except (ValueError, OverflowError, RecursionError) as error:
+            return json_answer(400, {wire_names.REASON: str(error)})
+        # The guard obeys from this line on, so the answer may say so.
+        self._target.take_beat(beat._replace(zone=beat.zone or self._own_zone))
+        return json_answer(200, {})
+
+    async def _leave(self, call: Call) -> Answer:
+        self._target.leave(call.subject)
+        return json_answer(200, {})
--- /dev/null
+++ b/marblefold/proxy/leaving.py
@@ -0,0 +1,51 @@
+"""Leaves in order after a SIGTERM: nothing read is left unanswered."""
+
+import asyncio
+import time
+from datetime import timedelta
+from typing import Protocol
+
+from marblefold.http_streams.downstream_server import DownstreamServer
+from marblefold.logs import log
+from marblefold.request_path.guard import Guard
+
+__all__ = ["Leaver", "leave_in_order"]
+
+# The platform asks for readiness every second and believes two misses.
+_NOTICED = timedelta(milliseconds=2300)
+_QUIET = timedelta(milliseconds=400)
+_LOOK_EVERY = 0.05
+# A part of the grace period is kept for the end itself.
+_GRACE_SHARE = 0.92
+
+
+class Leaver(Protocol):
+    """What has to be stopped in order."""
+
+    outbound: DownstreamServer
+    guard: Guard
+    grace_period: timedelta
+
+    def tell_leaving(self) -> None: ...
+
+
+async def leave_in_order(program: Leaver) -> None:
+    """Returns when the process may end."""
+    began = time.monotonic()
+    log.info("leaving", in_progress=program.outbound.in_progress, hops=program.guard.in_progress)
+    program.tell_leaving()
+    # Answers from here on end their streams, but requests are still taken:
+    # downstreams come until the platform has missed our readiness twice.
+    program.outbound.is_leaving = True
+    last = began + program.grace_period.total_seconds() * _GRACE_SHARE
+    while (now := time.monotonic()) < last:
+        is_noticed = now - began > _NOTICED.total_seconds()
+        is_quiet = now - program.outbound.last_arrival > _QUIET.total_seconds()
+        if is_noticed and is_quiet:
+            program.outbound.close_idle()
+            if not program.outbound.in_progress and not program.guard.in_progress:
+                break
+        await asyncio.sleep(_LOOK_EVERY)
+    program.outbound.stop()
+    program.outbound.close_idle()
+    log.info("left", after=round(time.monotonic() - began, 2))
--- /dev/null
+++ b/marblefold/proxy/program.py
@@ -0,0 +1,202 @@
+"""The proxy: carries the traffic of one machine and guards its target."""
+
+import asyncio
+import signal
+import time
+from datetime import timedelta
+
+from marblefold import wire_names
+from marblefold.http_streams.answer import Answer
+from marblefold.http_streams.call_router import Call, CallRouter, json_answer
+from marblefold.http_streams.downstream_server import DownstreamServer
+from marblefold.inner_protocol.mate_book import MateBook
+from marblefold.inner_protocol.mate_stream import Exchange, MateStream
+from marblefold.inner_protocol.messages import kinds
+from marblefold.inner_protocol.ports import PROXY, REGISTRY, inner_address
+from marblefold.logs import log
+from marblefold.node_config.reading import NodeConfig
+from marblefold.node_config.watching import ConfigWatch
+from marblefold.operator_spec.mapping_table import MappingTable
+from marblefold.proxy.beats import BeatCalls
+from marblefold.proxy.health_probe import ask_health
+from marblefold.proxy.leaving import leave_in_order
+from marblefold.proxy.notices import NoticeMaker
+from marblefold.proxy.registry_follower import RegistryFollower
+from marblefold.request_path.executor import RequestExecutor
+from marblefold.request_path.guard import Guard
+from marblefold.request_path.hop_sender import HopSender
+from marblefold.request_path.local_target import LocalTarget, TargetState
+from marblefold.request_path.mesh_view import MeshView
+from marblefold.request_path.nomination import Nominator
+from marblefold.request_path.surroundings import Surroundings
+
+__all__ = ["ProxyProgram"]
+
+_OVERDUE_LOOK = timedelta(seconds=10)
+
+
+class ProxyProgram:
+    """Puts the parts of a proxy together and runs them."""
+
+    def __init__(self, watch: ConfigWatch) -> None:
+        config = watch.config
+        self._watch = watch
+        self._config = config
+        self.is_leaving = False
+        self.view = MeshView(config.node_name)
+        self.target = LocalTarget(self._on_target_change)
+        self.guard = Guard(self.target, self.view, config.bounds)
+        self._notices = NoticeMaker(config, self.target)
+        self.follower = RegistryFollower(
+            config.node_name,
+            self._seed_registries,
+            self.view, self._make_notice)
+        nominator = Nominator(self.view, config.zone, config.region)
+        self.surroundings = Surroundings(self.view, nominator, config.bounds)
+        self._mates = MateBook(self)
+        self.executor = RequestExecutor(
+            self.surroundings, HopSender(self._mates), config.upstream)
+        self.outbound = DownstreamServer(self.executor.serve)
+        calls, ready = CallRouter(), CallRouter()
+        BeatCalls(self.target, config.zone).add_to(calls)
+        ready.add(*wire_names.READINESS_CALL, self._readiness)
+        self._control = DownstreamServer(calls.handle)
+        self._readiness_server = DownstreamServer(ready.handle)
+        self.view.on_own_notice = self._on_own_notice
+        self.view.on_spec = self._on_spec
+        self.view.on_evacuation = self._on_evacuation
+        self._stop = asyncio.Event()
+        self._tasks: set[asyncio.Task] = set()
+
+    async def run(self) -> None:
+        """Serves until a SIGTERM has been obeyed."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._watch.reread)
+        self._watch.listen(self._on_config)
+        self._take_address(self._config)
+        # Nobody knows what the target was already offered in this second.
+        self.guard.cold.assume_spent(time.monotonic())
+        listen = self._config.listen
+        inner = inner_address(self._config.host, self._config, PROXY)
+        host, _sign, port = inner.rpartition(":")
+        await loop.create_server(lambda: MateStream(self), host, int(port), backlog=512)
+        await self._control.start(listen["control-plane"])
+        await self._readiness_server.start(listen["readiness"])
+        await self.outbound.start(listen["outbound"])
+        log.info("serving", node=self._config.node_name, inner=inner)
+        for run in (
+            self._watch.run(), self.follower.run(), self.outbound.run(),
+            self._control.run(), self._readiness_server.run(),
+            self._find_target(), self._look_for_overdue(),
+        ):
+            self._start(run)
+        await self._stop.wait()
+        await leave_in_order(self)
+        for task in self._tasks:
+            task.cancel()
+
+    def tell_leaving(self) -> None:
+        """From now on mates should nominate other targets."""
+        self.is_leaving = True
+        self._notices.is_leaving = True
+        self.follower.tell()
+
+    @property
+    def grace_period(self) -> timedelta:
+        """How long the platform lets us take to leave."""
+        return self._watch.config.bounds.grace_period
+
+    def on_hop(self, exchange: Exchange, payload: bytes) -> None:
+        """A mate sends a hop for the target beside us."""
+        self.guard.on_hop(exchange, payload)
+
+    def on_call(self, stream: MateStream, number: int, payload: bytes) -> None:
+        """Mates call for nothing else."""
+
+    def on_tell(self, stream: MateStream, payload: bytes) -> None:
+        """Mates tell nothing else."""
+
+    def on_lost(self, stream: MateStream) -> None:
+        """A mate's stream is gone; its hops were told already."""
+
+    async def _readiness(self, _call: Call) -> Answer:
+        # Ready means: a downstream that comes now can be served as it should.
+        if self.is_leaving or self.view.table is None:
+            return json_answer(503, {"ready": False})
+        return json_answer(200, {"ready": True})
+
+    async def _find_target(self) -> None:
+        """After our own start the target may be long there: ask it once."""
+        while self.target.state is TargetState.UNKNOWN and self._config.app_address:
+            table = self.view.table
+            known = table.upstreams.get(self._config.upstream) if table else None
+            if known is not None:
+                await self._probe(known.health_check_path)
+                return
+            await asyncio.sleep(0.05)
+
+    async def _probe(self, path: str) -> None:
+        config = self._watch.config
+        health = await ask_health(config.app_address, path)
+        if health is not None:
+            self.target.take_health(
+                health.instance, config.upstream, config.zone, health.slots, health.cold)
+
+    def _seed_registries(self) -> list[str]:
+        config = self._watch.config
+        return [inner_address(seed.host, config, REGISTRY) for seed in config.seeds]
+
+    def _make_notice(self) -> kinds.TargetNotice:
+        return self._notices.make()
+
+    def _on_target_change(self) -> None:
+        self.follower.tell()
+
+    def _on_own_notice(self, life: int) -> None:
+        # Our clock may have been set back: outbid the older life of ours.
+        if self._notices.outbid(life):
+            self.follower.tell()
+
+    def _on_spec(self, table: MappingTable) -> None:
+        limits = table.spec.limits
+        self.outbound.header_bytes = limits.max_header_bytes
+        self.outbound.header_time = limits.header_timeout_ms
+        self.outbound.idle_time = limits.idle_timeout_ms
+
+    def _on_evacuation(self, zone: str, is_on: bool) -> None:
+        if is_on or zone != self._config.zone:
+            return
+        # The target may have gone cold unseen: hold it to that till it speaks.
+        now = time.monotonic()
+        self.target.note_cold(self._config.beat_interval, now)
+        table = self.view.table
+        known = table.upstreams.get(self.target.upstream) if table else None
+        if known is not None and self.target.state is TargetState.READY:
+            self._start(self._probe(known.health_check_path))
+
+    def _on_config(self, config: NodeConfig) -> None:
+        self.executor.caller = config.upstream
+        if config.app_address != self._config.app_address:
+            self._take_address(config)
+        self._config = config
+
+    def _take_address(self, config: NodeConfig) -> None:
+        if config.app_address:
+            self.guard.set_address(config.app_address)
+
+    async def _look_for_overdue(self) -> None:
+        while True:
+            await asyncio.sleep(_OVERDUE_LOOK.total_seconds())
+            self.surroundings.log_overdue(_OVERDUE_LOOK)
+
+    def _start(self, run) -> None:
+        task = asyncio.get_running_loop().create_task(run)
+        self._tasks.add(task)
+        task.add_done_callback(self._note_end)
+
+    def _note_end(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log.error("task broke down", exc_info=task.exception())
+
--- /dev/null
+++ b/marblefold/registry/catalogue.py
@@ -0,0 +1,63 @@
+"""What this registry knows, entry by entry, as soft state told again."""
+
+from collections import deque
+from typing import Callable
+
+from marblefold.inner_protocol.messages import kinds
+
+__all__ = ["Catalogue"]
+
+_KEPT_CHANGES = 2000
+
+
+class Catalogue:
+    """The newest entry of every key, and the newest changes with their places."""
+
+    def __init__(self, life: int) -> None:
+        self.life = life
+        self.place = 0
+        self._entries: dict[tuple[str, str], kinds.Entry] = {}
+        self._changes: deque[tuple[int, kinds.Entry]] = deque(maxlen=_KEPT_CHANGES)
+        self._listeners: list[Callable[[int, kinds.Entry], None]] = []
+
+    def listen(self, listener: Callable[[int, kinds.Entry], None]) -> None:
+        """Calls the listener with each change and its place."""
+        self._listeners.append(listener)
+
+    def find(self, kind: str, key: str) -> kinds.Entry | None:
+        """The newest entry under the key."""
+        return self._entries.get((kind, key))
+
+    def entries(self, kind: str) -> list[kinds.Entry]:
+        """All entries of a kind that are not removed."""
+        return [
+            entry for (of, _key), entry in self._entries.items()
+            if of == kind and not entry.removed
+        ]
+
+    def put(self, entry: kinds.Entry) -> bool:
+        """Takes in an entry if it is newer than the one held."""
+        key = (entry.kind, entry.key)
+        held = self._entries.get(key)
+        if held is not None and (entry.life, entry.number) <= (held.life, held.number):
+            return False
+        self._entries[key] = entry
+        self.place += 1
+        self._changes.append((self.place, entry))
+        for listener in self._listeners:
+            listener(self.place, entry)
+        return True
+
+    def changes_since(self, life: int, place: int) -> list[kinds.Entry] | None:
+        """The changes behind a place, or None where only a frame will do."""
+        if life != self.life or place > self.place:
+            return None
+        if place == self.place:
+            return []
+        if not self._changes or self._changes[0][0] > place + 1:
+            return None
+        return [entry for at, entry in self._changes if at > place]
+
+    def frame(self) -> list[kinds.Entry]:
+        """Everything that holds."""
+        return list(self._entries.values())
--- /dev/null
+++ b/marblefold/registry/program.py
@@ -0,0 +1,121 @@
+"""The registry: knows targets and proxies, takes outside calls, feeds news."""
+
+import asyncio
+import signal
+import time
+
+from marblefold.http_streams.call_router import CallRouter
+from marblefold.http_streams.downstream_server import DownstreamServer
+from marblefold.inner_protocol.mate_stream import Exchange, MateStream
+from marblefold.inner_protocol.messages import kinds, unpack_message
+from marblefold.inner_protocol.ports import REGISTRY, STORE, inner_address
+from marblefold.logs import log
+from marblefold.node_config.watching import ConfigWatch
+from marblefold.registry.catalogue import Catalogue
+from marblefold.registry.control_calls import ControlCalls
+from marblefold.registry.feed import FeedKeeper
+from marblefold.registry.store_words import HeldWord, StoreWords
+from marblefold.spec_store.view import read_view
+
+__all__ = ["RegistryProgram"]
+
+_TOUCH_SECONDS = 1.5
+
+
+class RegistryProgram:
+    """Puts the parts of a registry together and runs them."""
+
+    def __init__(self, watch: ConfigWatch) -> None:
+        config = watch.config
+        self._watch = watch
+        self._config = config
+        self.catalogue = Catalogue(int(time.time() * 1000))
+        self.words = StoreWords(
+            inner_address(config.host, config, STORE), self._seed_stores, self._on_word)
+        self.feed = FeedKeeper(self.catalogue, lambda: True, self._count_proxies)
+        self._streams: dict[MateStream, str] = {}
+        calls = CallRouter()
+        ControlCalls(self.words, lambda: set(self._watch.config.zone_regions)).add_to(calls)
+        self._control = DownstreamServer(calls.handle)
+        self._stop = asyncio.Event()
+
+    async def run(self) -> None:
+        """Serves until a SIGTERM."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._watch.reread)
+        inner = inner_address(self._config.host, self._config, REGISTRY)
+        host, _sign, port = inner.rpartition(":")
+        await loop.create_server(lambda: MateStream(self), host, int(port), backlog=512)
+        await self._control.start(self._config.listen["control-plane"])
+        log.info("serving", node=self._config.node_name, inner=inner)
+        tasks = [
+            loop.create_task(run) for run in (
+                self._watch.run(), self.words.run(), self.feed.run(), self._control.run())
+        ]
+        await self._stop.wait()
+        # Calls that were read are answered; callers know other registries.
+        self._control.is_leaving = True
+        self._control.stop()
+        last = loop.time() + 2.0
+        while self._control.in_progress and loop.time() < last:
+            await asyncio.sleep(0.02)
+        for task in tasks:
+            task.cancel()
+
+    def on_tell(self, stream: MateStream, payload: bytes) -> None:
+        """A proxy tells of itself, or follows the feed."""
+        message = unpack_message(payload)
+        if isinstance(message, kinds.Follow):
+            self.feed.follow(stream, message)
+        elif isinstance(message, kinds.TargetNotice):
+            self._take_notice(stream, message)
+
+    def on_lost(self, stream: MateStream) -> None:
+        """A proxy's stream is gone; what it told holds until others know more."""
+        self.feed.forget(stream)
+        self._streams.pop(stream, None)
+
+    def on_hop(self, exchange: Exchange, payload: bytes) -> None:
+        """Nobody sends hops to a registry."""
+        exchange.close()
+
+    def on_call(self, stream: MateStream, number: int, payload: bytes) -> None:
+        """Mates call for nothing here."""
+
+    def _take_notice(self, stream: MateStream, notice: kinds.TargetNotice) -> None:
+        self._streams[stream] = notice.node
+        self.catalogue.put(kinds.Entry(
+            kind="target", key=notice.node, life=notice.node_life,
+            number=notice.notice_number, value=notice.SerializeToString()))
+
+    def _on_word(self, word: HeldWord) -> None:
+        """A word holds: bring it to all followers."""
+        if word.register == "spec":
+            self.catalogue.put(kinds.Entry(
+                kind="spec", key="spec", number=word.number, value=word.value))
+        elif word.register.startswith("evacuation/"):
+            self.catalogue.put(kinds.Entry(
+                kind="evacuation", key=word.register.partition("/")[2],
+                number=word.number, value=word.value))
+        elif word.register == "view":
+            self._take_view(word)
+
+    def _take_view(self, word: HeldWord) -> None:
+        members = set(read_view(word.value).members)
+        self.words.stores = members
+        # Registries stand on the machines of the stores.
+        registries = sorted(
+            inner_address(member.rpartition(":")[0], self._config, REGISTRY)
+            for member in members
+        )
+        self.catalogue.put(kinds.Entry(
+            kind="registries", key="registries", number=word.number,
+            value="\n".join(registries).encode()))
+
+    def _count_proxies(self) -> int:
+        return len(self.catalogue.entries("target"))
+
+    def _seed_stores(self) -> list[str]:
+        config = self._watch.config
+        return [inner_address(seed.host, config, STORE) for seed in config.seeds]
--- /dev/null
+++ b/marblefold/registry/store_words.py
@@ -0,0 +1,100 @@
+"""The registry's way to the stores: asks for words to hold, hears what holds."""
+
+import asyncio
+import time
+from typing import Callable, NamedTuple
+
+from marblefold.breakdowns import Breakdown
+from marblefold.inner_protocol.mate_book import MateBook
+from marblefold.inner_protocol.mate_stream import Exchange, MateStream
+from marblefold.inner_protocol.messages import kinds, pack_message, unpack_message
+from marblefold.logs import log
+
+__all__ = ["HeldWord", "StoreWords"]
+
+_LOOK_EVERY = 0.2
+_CALL_SECONDS = 1.5
+
+
+class HeldWord(NamedTuple):
+    """A word of the operator that a majority holds."""
+
+    register: str
+    number: int
+    value: bytes
+
+
+class StoreWords:
+    """Owns the streams to the stores; the one on this machine is asked first."""
+
+    def __init__(
+        self, own_store: str, seeds: Callable[[], list[str]],
+        on_word: Callable[[HeldWord], None],
+    ) -> None:
+        self.stores: set[str] = set()
+        self._own_store = own_store
+        self._seeds = seeds
+        self._on_word = on_word
+        self._mates = MateBook(self)
+        self._watched: set[str] = set()
+
+    async def ask(self, kind: str, register: str, number: int = 0, value: bytes = b""):
+        """The stores' answer; Breakdown if no store could give a clear one."""
+        call = pack_message(kinds.WordCall(
+            kind=kind, register=register, number=number, value=value))
+        started = time.monotonic()
+        last: Breakdown | None = None
+        for mate in self._in_order():
+            left = _CALL_SECONDS - (time.monotonic() - started)
+            if left <= 0.05:
+                break
+            try:
+                stream = await self._mates.reach(mate)
+                answer = unpack_message(await stream.call(call, left))
+            except Breakdown as breakdown:
+                last = breakdown
+                continue
+            if answer.outcome != "unknown":
+                return answer
+            last = Breakdown(kind, answer.reason, mate)
+        raise last or Breakdown(kind, "no store known")
+
+    async def run(self) -> None:
+        """Listens to every store, for ever."""
+        while True:
+            async with asyncio.TaskGroup() as group:
+                for mate in self._in_order():
+                    if mate not in self._watched:
+                        group.create_task(self._watch(mate))
+            await asyncio.sleep(_LOOK_EVERY)
+
+    async def _watch(self, mate: str) -> None:
+        try:
+            stream = await self._mates.reach(mate)
+            self._watched.add(mate)
+            await stream.call(pack_message(kinds.WordCall(kind="watch")), _CALL_SECONDS)
+        except Breakdown:
+            self._watched.discard(mate)
+
+    def _in_order(self) -> list[str]:
+        known = set(self._seeds()) | self.stores
+        others = sorted(known - {self._own_store})
+        return [self._own_store, *others]
+
+    def on_tell(self, stream: MateStream, payload: bytes) -> None:
+        """A store tells a word that holds."""
+        accepted = unpack_message(payload)
+        if isinstance(accepted, kinds.Accepted):
+            self._on_word(HeldWord(accepted.register, accepted.number, accepted.value))
+
+    def on_lost(self, stream: MateStream) -> None:
+        """A store is out of reach."""
+        self._watched.discard(stream.mate)
+        log.info("store lost", mate=stream.mate)
+
+    def on_hop(self, exchange: Exchange, payload: bytes) -> None:
+        """Stores send no hops."""
+        exchange.close()
+
+    def on_call(self, stream: MateStream, number: int, payload: bytes) -> None:
+        """Stores call for nothing here."""
--- /dev/null
+++ b/marblefold/request_path/decision.py
@@ -0,0 +1,163 @@
+"""Decides, step by step, what becomes of one request.
+
+The decision is asked and the executor obeys: nothing here waits or sends.
+"""
+
+from typing import Collection, NamedTuple, Protocol
+
+from marblefold import wire_names
+from marblefold.circuit_breaker.breaker import Passage
+from marblefold.http_streams.answer import Answer, own_answer
+from marblefold.operator_spec.model import Mapping
+from marblefold.request_path.mesh_view import KnownTarget
+from marblefold.request_path.nomination import Nominee
+from marblefold.request_path.outcome import HopOutcome, HopResult
+
+__all__ = ["Conclude", "Facts", "Offer", "RequestDecision"]
+
+# Less time than this is not worth a hop.
+_LEAST_SECONDS = 0.004
+# Guards that turn a hop away cost little; still the search must end.
+_MOST_REFUSED_HOPS = 4
+_RETRY_WHEN_NO_TARGET = 0.25
+_RETRY_AT_LEAST = 0.05
+
+
+class Offer(NamedTuple):
+    """Send a hop to this target."""
+
+    target: KnownTarget
+    seconds_left: float
+    queue_seconds: float
+    attempt_number: int
+    is_last_resort: bool
+
+
+class Conclude(NamedTuple):
+    """Give this answer; the request is over."""
+
+    answer: Answer
+    step: str
+
+
+class Facts(Protocol):
+    """What a decision may ask of its surroundings."""
+
+    def nominate(
+        self, upstream: str, tried: Collection[str], homes: Collection[str] | None, now: float,
+    ) -> Nominee | None: ...
+
+    def ask_breaker(self, upstream: str, now: float) -> Passage: ...
+
+    def may_repeat(self, upstream: str, now: float) -> bool: ...
+
+
+class RequestDecision:
+    """The state of one request between its hops."""
+
+    def __init__(
+        self, mapping: Mapping, upstream: str, attempt_id: str, arrived: float,
+        deadline: float, is_replayable: bool, facts: Facts,
+    ) -> None:
+        self.upstream = upstream
+        self.deadline = deadline
+        self._mapping = mapping
+        self._attempt_id = attempt_id
+        self._facts = facts
+        self._arrived = arrived
+        self._aim = max(0.02, mapping.target_latency_ms.total_seconds())
+        self._is_repeatable = mapping.mapping_kind == wire_names.READ_ONLY
+        self._is_replayable = is_replayable
+        self._offered = 0
+        self._refused_hops = 0
+        self._tried: set[str] = set()
+        self._may_have_run = False
+        self._last: HopResult | None = None
+
+    @property
+    def weight(self) -> float:
+        """What elapsed times are divided by before they are compared."""
+        return self._aim
+
+    def note(self, target: KnownTarget, result: HopResult) -> None:
+        """Takes in how a hop ended."""
+        self._last = result
+        self._tried.add(target.instance)
+        if result.outcome is HopOutcome.NEVER_OFFERED:
+            self._refused_hops += 1
+            return
+        self._offered += 1
+        if result.outcome is not HopOutcome.NOT_EXECUTED:
+            self._may_have_run = True
+
+    def next_step(self, now: float) -> Offer | Conclude:
+        """What to do now."""
+        if self._last is not None:
+            final = self._judge_last(now)
+            if final is not None:
+                return final
+        left = self.deadline - now
+        if left < _LEAST_SECONDS:
+            return self._give_up("deadline", now)
+        if self._offered >= self._mapping.attempt_limit:
+            return self._give_up("attempt limit", now)
+        # A repeat after an offer counts against the shared budget.
+        if self._offered and not self._facts.may_repeat(self.upstream, now):
+            return self._give_up("retry budget", now)
+        passage = self._facts.ask_breaker(self.upstream, now)
+        if not passage.allowed:
+            return self._give_up("breaker", now, passage.retry_after)
+        nominee = self._facts.nominate(
+            self.upstream, self._tried, self._mapping.home_regions, now)
+        if nominee is None:
+            return self._give_up("nominate", now)
+        # What is not offered within a quarter of its aim had better be told
+        # so, for the downstream to come back while that still helps.
+        queue_end = self._arrived + self._aim / 4
+        return Offer(
+            nominee.target, left, max(0.0, min(queue_end - now, left)),
+            self._offered + 1, nominee.is_last_resort,
+        )
+
+    def _judge_last(self, now: float) -> Conclude | None:
+        """The end of the request, if the last hop brought it."""
+        last = self._last
+        if last.outcome is HopOutcome.ANSWERED:
+            if last.answer.status < 500 or not self._may_go_on():
+                return Conclude(last.answer, "answered")
+            return None
+        if last.outcome is HopOutcome.UNKNOWN:
+            if self._may_go_on():
+                return None
+            return self._give_up(last.step, now)
+        if not self._is_replayable:
+            # The body is spent: nothing is left to offer to another target.
+            return self._give_up(last.step, now)
+        if last.outcome is HopOutcome.NEVER_OFFERED:
+            # Held for long enough, or turned away often enough.
+            late = now >= self._arrived + self._aim / 4
+            if late or self._refused_hops >= _MOST_REFUSED_HOPS:
+                return self._give_up(last.step, now)
+        return None
+
+    def _may_go_on(self) -> bool:
+        return (
+            self._is_repeatable and self._is_replayable
+            and self._offered < self._mapping.attempt_limit
+        )
+
+    def _give_up(self, step: str, now: float, retry_after: float = 0.0) -> Conclude:
+        last = self._last
+        if last is not None and last.outcome is HopOutcome.ANSWERED:
+            return Conclude(last.answer, "answered")
+        if self._may_have_run:
+            # It may have run, or run still: no promise can be made.
+            status = 504 if now >= self.deadline - _LEAST_SECONDS else 502
+            return Conclude(own_answer(status, f"gave up: {step}", self._attempt_id), step)
+        if last is not None:
+            retry_after = max(retry_after, last.retry_after)
+        if step == "nominate":
+            retry_after = max(retry_after, _RETRY_WHEN_NO_TARGET)
+        retry_after = max(retry_after, _RETRY_AT_LEAST)
+        return Conclude(
+            own_answer(503, f"not run: {step}", self._attempt_id, retry_after), step)
--- /dev/null
+++ b/marblefold/request_path/executor.py
@@ -0,0 +1,138 @@
+"""Takes a downstream's request through the mesh, as its decision says."""
+
+import random
+import time
+
+from marblefold.http_streams.answer import Answer, own_answer
+from marblefold.http_streams.downstream_request import BodyTooLarge, DownstreamRequest
+from marblefold.inner_protocol.messages import kinds
+from marblefold.logs import log
+from marblefold.operator_spec.model import Mapping
+from marblefold.request_path.decision import Conclude, Offer, RequestDecision
+from marblefold.request_path.hop_sender import HopSender
+from marblefold.request_path.outcome import HopOutcome, HopResult
+from marblefold.request_path.surroundings import Surroundings
+
+__all__ = ["RequestExecutor"]
+
+# A body up to this is held, so that it can be offered once more.
+_HELD_BODY = 512 * 1024
+_NO_DEADLINE_SECONDS = 600.0
+
+
+class RequestExecutor:
+    """Serves the requests that downstreams send to this proxy."""
+
+    def __init__(self, surroundings: Surroundings, hops: HopSender, caller: str) -> None:
+        self.caller = caller
+        self._surroundings = surroundings
+        self._hops = hops
+        self._random = random.Random()
+
+    async def serve(self, request: DownstreamRequest) -> Answer:
+        """The answer to the request."""
+        refusal, mapping = self._find_mapping(request)
+        if refusal is not None:
+            return refusal
+        body_limit = self._surroundings.view.table.spec.limits.max_body_bytes
+        deadline = self._find_deadline(request, mapping)
+        try:
+            body, is_whole = await request.gather(_HELD_BODY, body_limit)
+            return await self._run(request, mapping, deadline, body, is_whole, body_limit)
+        except BodyTooLarge:
+            return own_answer(413, "the body is too large", request.attempt_id, closes=True)
+
+    async def _run(
+        self, request: DownstreamRequest, mapping: Mapping, deadline: float, body: bytes,
+        is_whole: bool, body_limit: int,
+    ) -> Answer:
+        surroundings = self._surroundings
+        upstream = self._pick_upstream(mapping)
+        decision = RequestDecision(
+            mapping, upstream, request.attempt_id, request.arrived, deadline, is_whole,
+            surroundings)
+        surroundings.note_request(upstream, time.monotonic())
+        head = self._make_head(request, mapping, upstream, body, is_whole)
+        while True:
+            step = decision.next_step(time.monotonic())
+            if isinstance(step, Conclude):
+                if step.answer.status >= 500 and step.step != "answered":
+                    log.info("gave up", attempt=request.attempt_id, step=step.step,
+                             status=step.answer.status, upstream=upstream)
+                return step.answer
+            result = await self._hop(step, head, request, decision, body_limit)
+            decision.note(step.target, result)
+
+    async def _hop(
+        self, offer: Offer, head, request: DownstreamRequest, decision: RequestDecision,
+        body_limit: int,
+    ) -> HopResult:
+        target = offer.target
+        head.expected_instance = target.instance
+        head.deadline_left_ms = int(offer.seconds_left * 1000)
+        head.queue_left_ms = int(offer.queue_seconds * 1000)
+        head.attempt_number = offer.attempt_number
+        head.last_resort = offer.is_last_resort
+        surroundings = self._surroundings
+        # Anything beyond the first offer may arrive at a target as a repeat.
+        if offer.attempt_number > 1:
+            surroundings.note_repeat(target.upstream, time.monotonic())
+        ticket = surroundings.begin(target, decision.weight, request.attempt_id)
+        result = HopResult(HopOutcome.UNKNOWN, step="cancelled")
+        try:
+            result = await self._hops.send(
+                target.mate, head, request, body_limit, offer.seconds_left)
+            return result
+        finally:
+            surroundings.end(target, ticket, result, decision.weight)
+
+    def _find_mapping(self, request: DownstreamRequest) -> tuple[Answer | None, Mapping | None]:
+        """The mapping of the request, or the answer that refuses it."""
+        table = self._surroundings.view.table
+        if table is None:
+            return own_answer(503, "no spec yet", request.attempt_id, 0.5), None
+        if request.is_upgrade or request.method == "CONNECT":
+            return own_answer(400, "no such use of the stream", closes=True), None
+        if not request.attempt_id or len(request.attempt_id) > 200:
+            return own_answer(400, "no Attempt-Id"), None
+        mapping = table.find(request.host, request.path)
+        if mapping is None:
+            return own_answer(404, "no mapping", request.attempt_id), None
+        return None, mapping
+
+    def _find_deadline(self, request: DownstreamRequest, mapping: Mapping) -> float:
+        told = request.deadline_ms
+        seconds = told / 1000.0 if told is not None else _NO_DEADLINE_SECONDS
+        return request.arrived + min(seconds, mapping.time_limit_ms.total_seconds())
+
+    def _pick_upstream(self, mapping: Mapping) -> str:
+        splits = mapping.splits
+        if len(splits) == 1:
+            return splits[0].upstream
+        weights = [split.weight for split in splits]
+        return self._random.choices([split.upstream for split in splits], weights)[0]
+
+    def _make_head(
+        self, request: DownstreamRequest, mapping: Mapping, upstream: str, body: bytes,
+        is_whole: bool,
+    ):
+        length = -1
+        if is_whole:
+            length = len(body) if request.has_body or request.body_length == 0 else -1
+        elif request.body_length >= 0:
+            length = request.body_length
+        return kinds.RequestHead(
+            attempt_id=request.attempt_id,
+            method=request.method,
+            path=request.path.encode("utf-8", "surrogateescape"),
+            header_block=request.header_block(),
+            upstream=upstream,
+            caller_service=self.caller,
+            mapping_kind=mapping.mapping_kind,
+            spec_number=self._surroundings.view.table.number,
+            priority=max(0, mapping.priority),
+            body=body,
+            body_follows=not is_whole,
+            body_length=length,
+        )
+
--- /dev/null
+++ b/marblefold/request_path/hop_sender.py
@@ -0,0 +1,96 @@
+"""Sends one hop to the proxy beside a target and tells how it ended."""
+
+import asyncio
+
+from marblefold.breakdowns import Breakdown
+from marblefold.http_streams.answer import Answer
+from marblefold.http_streams.downstream_request import BodyTooLarge, DownstreamRequest
+from marblefold.inner_protocol.frames import FrameKind
+from marblefold.inner_protocol.mate_book import MateBook
+from marblefold.inner_protocol.mate_stream import Exchange
+from marblefold.inner_protocol.messages import kinds
+from marblefold.request_path.outcome import HopOutcome, HopResult, Pressure
+
+__all__ = ["HopSender"]
+
+# How long after the deadline the guard's own word is still waited for.
+_GUARD_WORD_SECONDS = 0.03
+
+
+class HopSender:
+    """Carries hops over the streams to mates."""
+
+    def __init__(self, mates: MateBook) -> None:
+        self._mates = mates
+
+    async def send(
+        self, mate: str, head, request: DownstreamRequest, body_bound: int, seconds: float,
+    ) -> HopResult:
+        """The hop's end; it raises only BodyTooLarge and a lost downstream."""
+        try:
+            stream = await self._mates.reach(mate)
+        except Breakdown as breakdown:
+            # No stream, nothing sent: certain.
+            return HopResult(HopOutcome.NEVER_OFFERED, step=breakdown.step)
+        exchange = stream.open_exchange()
+        sender: asyncio.Task | None = None
+        is_over = False
+        try:
+            exchange.send(FrameKind.HEAD, head.SerializeToString())
+            if head.body_follows:
+                sender = asyncio.get_running_loop().create_task(
+                    _send_rest(exchange, request, body_bound))
+            async with asyncio.timeout(seconds + _GUARD_WORD_SECONDS):
+                payload = await exchange.answer
+            answer_head = kinds.AnswerHead.FromString(payload)
+            is_over = not answer_head.body_follows
+            return _make_result(answer_head, exchange, request.method)
+        except TimeoutError:
+            return HopResult(HopOutcome.UNKNOWN, step="deadline")
+        except Breakdown as breakdown:
+            too_large = sender is not None and sender.done() and not sender.cancelled()
+            if too_large and isinstance(sender.exception(), BodyTooLarge):
+                raise sender.exception() from breakdown
+            return HopResult(HopOutcome.UNKNOWN, step=breakdown.step)
+        except asyncio.CancelledError:
+            exchange.send(FrameKind.CANCEL)
+            raise
+        finally:
+            if sender is not None and not sender.done():
+                sender.cancel()
+            if is_over or not exchange.answer.done() or exchange.broken:
+                # A guard still at work is told that nobody waits.
+                if not exchange.answer.done():
+                    exchange.send(FrameKind.CANCEL)
+                exchange.close()
+
+
+async def _send_rest(exchange: Exchange, request: DownstreamRequest, bound: int) -> None:
+    try:
+        while chunk := await request.read_chunk(bound):
+            await exchange.send_body(chunk)
+        exchange.send(FrameKind.BODY_END)
+    except (ConnectionError, BodyTooLarge) as error:
+        # The target must not take a part for the whole.
+        exchange.send(FrameKind.CANCEL)
+        exchange.break_off(Breakdown("body", str(error) or "too large"))
+        raise
+    except Breakdown:
+        return
+
+
+def _make_result(head, exchange: Exchange, method: str) -> HopResult:
+    pressure = Pressure(head.running, head.waiting, head.slots) if head.slots else None
+    outcome = HopOutcome(head.outcome)
+    answer = None
+    if outcome is HopOutcome.ANSWERED:
+        answer = Answer(
+            head.status, head.reason, head.header_block, head.body,
+            exchange.incoming if head.body_follows else None,
+            is_bodiless=method == "HEAD",
+            release=exchange.close if head.body_follows else None,
+        )
+    return HopResult(
+        outcome, answer, head.retry_after_ms / 1000.0, head.step, pressure,
+        head.service_us / 1e6,
+    )
--- /dev/null
+++ b/marblefold/request_path/mesh_view.py
@@ -0,0 +1,121 @@
+"""What this proxy knows of the mesh: targets, spec and evacuations.
+
+It is fed by the registries' feeds and never goes back: of two entries under
+one key the one with the higher life and number holds.
+"""
+
+import time
+from typing import Callable, NamedTuple
+
+from marblefold.inner_protocol.messages import kinds
+from marblefold.logs import log
+from marblefold.operator_spec.mapping_table import MappingTable
+from marblefold.operator_spec.reading import InvalidSpec, read_spec
+
+__all__ = ["KnownTarget", "MeshView"]
+
+
+class KnownTarget(NamedTuple):
+    """A target and the proxy beside it."""
+
+    node: str
+    mate: str
+    zone: str
+    region: str
+    instance: str
+    upstream: str
+    slots: int
+    is_draining: bool
+    cold_until: float
+    is_leaving: bool
+
+
+class MeshView:
+    """The newest known entry of every key, laid out for the request path."""
+
+    def __init__(self, node: str) -> None:
+        self.table: MappingTable | None = None
+        self.proxies = 0
+        self.evacuated: set[str] = set()
+        self.suspects: set[str] = set()
+        self.registries: set[str] = set()
+        # Called when another life of this node is taken for the newest.
+        self.on_own_notice: Callable[[int], None] | None = None
+        self.on_evacuation: Callable[[str, bool], None] | None = None
+        self.on_spec: Callable[[MappingTable], None] | None = None
+        self._node = node
+        self._versions: dict[tuple[str, str], tuple[int, int]] = {}
+        self._targets: dict[str, dict[str, KnownTarget]] = {}
+        self._upstream_of: dict[str, str] = {}
+
+    def targets(self, upstream: str) -> list[KnownTarget]:
+        """The targets of the upstream that are not known to be gone."""
+        return list(self._targets.get(upstream, {}).values())
+
+    def take(self, entry) -> bool:
+        """Takes in an entry; tells whether it was news."""
+        key = (entry.kind, entry.key)
+        version = (entry.life, entry.number)
+        if version <= self._versions.get(key, (-1, -1)):
+            return False
+        if entry.kind == "spec" and not self._take_spec(entry):
+            return False
+        self._versions[key] = version
+        if entry.kind == "target":
+            self._take_target(entry)
+        elif entry.kind == "evacuation":
+            self._take_evacuation(entry)
+        elif entry.kind == "registries":
+            self.registries = set(entry.value.decode().split("\n"))
+        return True
+
+    def _take_spec(self, entry) -> bool:
+        try:
+            self.table = MappingTable(read_spec(entry.value))
+        except InvalidSpec as fault:
+            # Registries check before they store; this is a fault of ours.
+            log.error("spec cannot be read", number=entry.number, faults=fault.faults[:5])
+            return False
+        log.info("spec in force", number=entry.number, mappings=len(self.table.spec.mapping_list))
+        if self.on_spec is not None:
+            self.on_spec(self.table)
+        return True
+
+    def _take_target(self, entry) -> None:
+        node = entry.key
+        if node == self._node and self.on_own_notice is not None:
+            self.on_own_notice(entry.life)
+        old = self._upstream_of.pop(node, None)
+        if old is not None:
+            self._targets[old].pop(node, None)
+        if entry.removed:
+            return
+        notice = kinds.TargetNotice.FromString(entry.value)
+        if notice.state not in ("ready", "draining"):
+            return
+        self._upstream_of[node] = notice.upstream
+        self._targets.setdefault(notice.upstream, {})[node] = KnownTarget(
+            node=node,
+            mate=notice.address,
+            zone=notice.zone,
+            region=notice.region,
+            instance=notice.instance,
+            upstream=notice.upstream,
+            slots=max(1, notice.slots),
+            is_draining=notice.state == "draining",
+            cold_until=time.monotonic() + notice.cold_left_ms / 1000.0,
+            is_leaving=notice.leaving,
+        )
+
+    def _take_evacuation(self, entry) -> None:
+        is_on = entry.value == b"on"
+        _set_member(self.evacuated, entry.key, is_on)
+        if self.on_evacuation is not None:
+            self.on_evacuation(entry.key, is_on)
+
+
+def _set_member(members: set[str], member: str, is_in: bool) -> None:
+    if is_in:
+        members.add(member)
+    else:
+        members.discard(member)
--- /dev/null
+++ b/marblefold/request_path/nomination.py
@@ -0,0 +1,135 @@
+"""Nominates the target that the next hop goes to."""
+
+import random
+from typing import Collection, NamedTuple
+
+from marblefold.request_path.mesh_view import KnownTarget, MeshView
+from marblefold.request_path.outcome import Pressure
+
+__all__ = ["Nominee", "Nominator"]
+
+# Told pressure is news for so long; then our own calls are all we know.
+_TOLD_SECONDS = 1.0
+# A mate that broke down is passed over for so long where others can serve.
+_SHUN_SECONDS = 1.0
+# What a hop to another zone adds to the latency that we compare.
+_ZONE_SURCHARGE = 1.12
+_LEARN = 0.15
+_CANDIDATES = 3
+
+
+class Nominee(NamedTuple):
+    """The nominated target; the last resort if nothing better is known."""
+
+    target: KnownTarget
+    is_last_resort: bool
+
+
+class _Record:
+    """What was learned of one target."""
+
+    __slots__ = ("in_flight", "told", "told_at", "latency", "broken_at", "refused_until")
+
+    def __init__(self) -> None:
+        self.in_flight = 0
+        self.told: Pressure | None = None
+        self.told_at = 0.0
+        self.latency = 0.0
+        self.broken_at = -1e9
+        self.refused_until = 0.0
+
+
+class Nominator:
+    """Learns how targets fare and picks the one likely to answer first."""
+
+    def __init__(self, view: MeshView, zone: str, region: str, seed: int | None = None) -> None:
+        self._view = view
+        self._zone = zone
+        self._region = region
+        self._records: dict[str, _Record] = {}
+        self._random = random.Random(seed)
+
+    def nominate(
+        self, upstream: str, tried: Collection[str], homes: Collection[str] | None, now: float,
+    ) -> Nominee | None:
+        """The target for the next hop, or None if there is none to be had."""
+        preferred: list[KnownTarget] = []
+        resort: list[KnownTarget] = []
+        for target in self._view.targets(upstream):
+            if target.instance in tried or target.zone in self._view.evacuated:
+                continue
+            # The homes of a mapping bind: elsewhere it must not run.
+            if homes and target.region not in homes:
+                continue
+            record = self._record(target.node)
+            is_doubtful = (
+                target.is_draining or target.is_leaving
+                or target.node in self._view.suspects
+                or now - record.broken_at < _SHUN_SECONDS
+                or now < record.refused_until
+            )
+            (resort if is_doubtful else preferred).append(target)
+        candidates = preferred or resort
+        if not candidates:
+            return None
+        if len(candidates) > _CANDIDATES:
+            candidates = self._random.sample(candidates, _CANDIDATES)
+        best = min(candidates, key=lambda target: self._expected(target, now))
+        return Nominee(best, not preferred)
+
+    def begin(self, target: KnownTarget) -> None:
+        """A hop leaves for the target."""
+        self._record(target.node).in_flight += 1
+
+    def end(self, target: KnownTarget) -> None:
+        """A hop to the target is over."""
+        self._record(target.node).in_flight -= 1
+
+    def note_pressure(self, target: KnownTarget, pressure: Pressure, now: float) -> None:
+        """The proxy beside the target told its pressure."""
+        record = self._record(target.node)
+        record.told = pressure
+        record.told_at = now
+
+    def note_latency(self, target: KnownTarget, weighted: float) -> None:
+        """The target answered; how long it took over the aim."""
+        record = self._record(target.node)
+        if record.latency == 0.0:
+            record.latency = weighted
+        record.latency += _LEARN * (weighted - record.latency)
+
+    def note_breakdown(self, target: KnownTarget, now: float) -> None:
+        """The mate or its target could not be talked to."""
+        self._record(target.node).broken_at = now
+
+    def note_refusal(self, target: KnownTarget, until: float) -> None:
+        """The guard does not want more before that time."""
+        self._record(target.node).refused_until = until
+
+    def _record(self, node: str) -> _Record:
+        record = self._records.get(node)
+        if record is None:
+            record = self._records[node] = _Record()
+        return record
+
+    def _expected(self, target: KnownTarget, now: float) -> float:
+        record = self._record(target.node)
+        pressure = float(record.in_flight)
+        slots = target.slots
+        if record.told is not None:
+            # The told pressure fades: without news the target drains.
+            age = now - record.told_at
+            if age < _TOLD_SECONDS:
+                told = record.told.running + record.told.waiting
+                pressure = max(pressure, told * (1.0 - age / _TOLD_SECONDS))
+            slots = record.told.slots or slots
+        use = (pressure + 1.0) / max(1, slots)
+        # Up to the slots more work hardly slows; beyond them it queues.
+        factor = 1.0 + 0.5 * use * use + 2.0 * max(0.0, use - 0.9)
+        latency = record.latency or 0.3
+        if target.cold_until > now:
+            factor *= 3.0
+        if target.zone != self._zone:
+            factor *= _ZONE_SURCHARGE
+        return latency * factor * (1.0 + 0.02 * self._random.random())
+
--- /dev/null
+++ b/marblefold/request_path/outcome.py
@@ -0,0 +1,40 @@
+"""The closed set of ways a hop can end."""
+
+import enum
+from typing import NamedTuple
+
+from marblefold.http_streams.answer import Answer
+
+__all__ = ["HopOutcome", "HopResult", "Pressure"]
+
+
+class HopOutcome(enum.IntEnum):
+    """What is known of a hop when it is over."""
+
+    # The target ran the request and its whole answer is at hand.
+    ANSWERED = 1
+    # No target was offered the request, and none will be by this hop.
+    NEVER_OFFERED = 2
+    # The target was offered the request and said that it did not run it.
+    NOT_EXECUTED = 3
+    # It may have run, or may run still.
+    UNKNOWN = 4
+
+
+class Pressure(NamedTuple):
+    """How much the proxy beside a target has on its hands."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+class HopResult(NamedTuple):
+    """How a hop ended and what it brought."""
+
+    outcome: HopOutcome
+    answer: Answer | None = None
+    retry_after: float = 0.0
+    step: str = ""
+    pressure: Pressure | None = None
+    service_seconds: float = 0.0
--- /dev/null
+++ b/marblefold/request_path/surroundings.py
@@ -0,0 +1,109 @@
+"""What surrounds every request of a proxy: view, breakers, budgets, nominator."""
+
+import time
+from datetime import timedelta
+from typing import Collection
+
+from marblefold.circuit_breaker.breaker import Breaker, Passage
+from marblefold.circuit_breaker.work_tracker import Ticket
+from marblefold.logs import log
+from marblefold.node_config.reading import Bounds
+from marblefold.request_path.mesh_view import KnownTarget, MeshView
+from marblefold.request_path.nomination import Nominator, Nominee
+from marblefold.request_path.outcome import HopOutcome, HopResult
+from marblefold.request_path.retry_budget import RetryBudget
+
+__all__ = ["Surroundings"]
+
+
+_SHUN_SECONDS = 0.2
+
+
+class Surroundings:
+    """Answers a decision's questions and learns from the ends of hops."""
+
+    def __init__(self, view: MeshView, nominator: Nominator, bounds: Bounds) -> None:
+        self.view = view
+        self.nominator = nominator
+        self._bounds = bounds
+        self._breakers: dict[str, Breaker] = {}
+        self._budgets: dict[str, RetryBudget] = {}
+
+    def nominate(
+        self, upstream: str, tried: Collection[str], homes: Collection[str] | None, now: float,
+    ) -> Nominee | None:
+        """The target for the next hop."""
+        return self.nominator.nominate(upstream, tried, homes, now)
+
+    def ask_breaker(self, upstream: str, now: float) -> Passage:
+        """The breaker's word on one more call to the upstream."""
+        breaker = self.breaker(upstream)
+        state = breaker.state
+        passage = breaker.ask(now)
+        if breaker.state is not state:
+            log.warning("breaker", upstream=upstream, state=breaker.state.value,
+                        outstanding=breaker.outstanding, threshold=breaker.threshold)
+        return passage
+
+    def may_repeat(self, upstream: str, now: float) -> bool:
+        """Whether a further try is within this proxy's part of the budget."""
+        # While the others are not counted, they may be many.
+        proxies = self.view.proxies or 1000
+        return self._budget(upstream).may_repeat(now, proxies)
+
+    def note_request(self, upstream: str, now: float) -> None:
+        """A request for the upstream came."""
+        self._budget(upstream).note_request(now)
+
+    def note_repeat(self, upstream: str, now: float) -> None:
+        """A further try leaves."""
+        self._budget(upstream).note_repeat(now)
+
+    def begin(self, target: KnownTarget, weight: float, what: str) -> Ticket:
+        """A hop leaves."""
+        self.nominator.begin(target)
+        return self.breaker(target.upstream).begin(time.monotonic(), weight, what)
+
+    def end(self, target: KnownTarget, ticket: Ticket, result: HopResult, weight: float) -> None:
+        """A hop is over."""
+        now = time.monotonic()
+        nominator = self.nominator
+        nominator.end(target)
+        answered = result.outcome is HopOutcome.ANSWERED
+        success = answered and result.answer.status < 400
+        # Errors and refusals teach the breaker nothing of what is normal.
+        self.breaker(target.upstream).end(ticket, now, success)
+        if result.pressure is not None:
+            nominator.note_pressure(target, result.pressure, now)
+        if success:
+            nominator.note_latency(target, (now - ticket.started) / weight)
+        elif result.outcome is HopOutcome.NEVER_OFFERED and result.pressure is None:
+            nominator.note_breakdown(target, now)
+        elif result.outcome is HopOutcome.UNKNOWN and result.step in ("stream", "deadline"):
+            nominator.note_breakdown(target, now)
+        elif result.outcome is HopOutcome.NEVER_OFFERED:
+            # A guard that turns hops away does so for a while.
+            pause = min(_SHUN_SECONDS, result.retry_after or _SHUN_SECONDS)
+            nominator.note_refusal(target, now + pause)
+
+    def log_overdue(self, longest: timedelta) -> None:
+        """Keeps calls visible that go on for longer than is sane."""
+        now = time.monotonic()
+        for upstream, breaker in self._breakers.items():
+            for ticket in breaker.overdue(now, longest.total_seconds()):
+                log.warning("overdue", upstream=upstream, attempt=ticket.what,
+                            seconds=round(now - ticket.started, 1))
+
+    def breaker(self, upstream: str) -> Breaker:
+        """The breaker that watches the upstream."""
+        breaker = self._breakers.get(upstream)
+        if breaker is None:
+            breaker = self._breakers[upstream] = Breaker()
+        return breaker
+
+    def _budget(self, upstream: str) -> RetryBudget:
+        budget = self._budgets.get(upstream)
+        if budget is None:
+            budget = self._budgets[upstream] = RetryBudget(
+                self._bounds.retry_ratio, self._bounds.retry_window, self._bounds.retry_slack)
+        return budget
--- /dev/null
+++ b/marblefold/spec_store/changes.py
@@ -0,0 +1,46 @@
+"""What the operator's words do to a register: pure functions of what it holds."""
+
+from typing import Callable, NamedTuple
+
+from marblefold.spec_store.view import View, read_view
+
+__all__ = ["Change", "Held", "change_view", "hold_evacuation", "hold_spec", "keep"]
+
+
+class Held(NamedTuple):
+    """The number and value of a register."""
+
+    number: int
+    value: bytes
+
+
+# A change gives the very value it was given where it changes nothing.
+Change = Callable[[Held], Held]
+
+
+def keep(held: Held) -> Held:
+    """Changes nothing; it finds out what a majority holds."""
+    return held
+
+
+def hold_spec(number: int, body: bytes) -> Change:
+    """The highest number holds."""
+    return lambda held: Held(number, body) if not held.value or number > held.number else held
+
+
+def hold_evacuation(value: bytes) -> Change:
+    """Starts and stops follow each other; a repeat of one changes nothing."""
+    def change(held: Held) -> Held:
+        # What was never evacuated need not be taken back.
+        if held.value == value or (not held.value and value == b"off"):
+            return held
+        return Held(held.number + 1, value)
+    return change
+
+
+def change_view(base: View, following: View) -> Change:
+    """Swaps a member if the view is still the one that the swap was made for."""
+    def change(held: Held) -> Held:
+        now = read_view(held.value) if held.value else base
+        return Held(following.number, following.pack()) if now == base else held
+    return change
--- /dev/null
+++ b/marblefold/spec_store/program.py
@@ -0,0 +1,139 @@
+"""The store: keeps the operator's words on disk with the other stores."""
+
+import asyncio
+import signal
+import uuid
+
+from marblefold.breakdowns import Breakdown
+from marblefold.inner_protocol.frames import FrameKind
+from marblefold.inner_protocol.mate_book import MateBook
+from marblefold.inner_protocol.mate_stream import Exchange, MateStream
+from marblefold.inner_protocol.messages import kinds, pack_message, unpack_message
+from marblefold.inner_protocol.ports import STORE, inner_address
+from marblefold.logs import log
+from marblefold.node_config.watching import ConfigWatch
+from marblefold.spec_store.acceptor import Acceptor
+from marblefold.spec_store.ballots import Holding, read_holding
+from marblefold.spec_store.changes import Change, hold_evacuation, hold_spec, keep
+from marblefold.spec_store.mate_calls import StoreMates, answer_call
+from marblefold.spec_store.proposer import Proposer
+from marblefold.spec_store.register_files import RegisterFiles
+from marblefold.spec_store.upkeep import Upkeep
+from marblefold.spec_store.words import ChosenWords
+
+__all__ = ["StoreProgram"]
+
+_WORD_SECONDS = 1.3
+
+
+class StoreProgram:
+    """Puts the parts of a store together and runs them."""
+
+    def __init__(self, watch: ConfigWatch) -> None:
+        config = watch.config
+        if not config.data_directory:
+            raise Breakdown("config", "field data-directory is missing")
+        self._watch = watch
+        self._config = config
+        self._address = inner_address(config.host, config, STORE)
+        seeds = [inner_address(seed.host, config, STORE) for seed in config.seeds]
+        self._acceptor = Acceptor(
+            self._address, RegisterFiles(config.data_directory), seeds, config.is_first_start)
+        self._mates = StoreMates(self._acceptor, MateBook(self))
+        self._proposer = Proposer(
+            self._mates, f"{self._address}/{self._acceptor.life}/{uuid.uuid4().hex[:8]}")
+        self._words = ChosenWords()
+        self._upkeep = Upkeep(self._acceptor, self._mates, self._proposer, self._words, seeds)
+        self._stop = asyncio.Event()
+        self._tasks: set[asyncio.Task] = set()
+
+    async def run(self) -> None:
+        """Serves until a SIGTERM."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._watch.reread)
+        host, _sign, port = self._address.rpartition(":")
+        await loop.create_server(lambda: MateStream(self), host, int(port), backlog=128)
+        log.info("serving", node=self._config.node_name, inner=self._address,
+                 standing=self._acceptor.standing.value)
+        tasks = [loop.create_task(self._watch.run()), loop.create_task(self._upkeep.run())]
+        await self._stop.wait()
+        # What is being proposed comes to its end: a word is worth the wait.
+        if self._tasks:
+            await asyncio.wait(set(self._tasks), timeout=1.5)
+        for task in tasks:
+            task.cancel()
+
+    def on_call(self, stream: MateStream, number: int, payload: bytes) -> None:
+        """A store or a registry calls."""
+        message = unpack_message(payload)
+        if isinstance(message, kinds.StoreCall):
+            answer = self._answer_store(message)
+            stream.send(FrameKind.REPLY, number, pack_message(answer))
+        elif isinstance(message, kinds.WordCall):
+            task = asyncio.get_running_loop().create_task(
+                self._answer_registry(stream, number, message))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    def on_tell(self, stream: MateStream, payload: bytes) -> None:
+        """A store tells what was just chosen."""
+        message = unpack_message(payload)
+        if isinstance(message, kinds.Accepted):
+            self._upkeep.take_chosen(message.register, read_holding(message))
+
+    def on_lost(self, stream: MateStream) -> None:
+        """A stream is gone; if a registry was behind it, it watches no more."""
+        self._words.forget(stream)
+
+    def on_hop(self, exchange: Exchange, payload: bytes) -> None:
+        """Nobody sends hops to a store."""
+        exchange.close()
+
+    def _answer_store(self, call: kinds.StoreCall) -> kinds.StoreAnswer:
+        self._mates.note_heard(call.sender)
+        answer = answer_call(self._acceptor, call)
+        if answer is not None:
+            return answer
+        view = self._acceptor.pack_view()
+        if call.kind == "compare":
+            return kinds.StoreAnswer(
+                agreed=True, view=view, accepted=self._words.newer_than(list(call.chosen)))
+        if call.kind == "opinion":
+            return kinds.StoreAnswer(agreed=self._upkeep.opinion(call.register), view=view)
+        if call.kind == "join":
+            self._upkeep.note_waiting(call.sender)
+            return kinds.StoreAnswer(view=view, reason="wait")
+        return kinds.StoreAnswer(view=view, reason="no such call")
+
+    async def _answer_registry(self, stream: MateStream, number: int, call) -> None:
+        answer = await self._make_answer(stream, call)
+        stream.send(FrameKind.REPLY, number, pack_message(answer))
+
+    async def _make_answer(self, stream: MateStream, call) -> kinds.WordAnswer:
+        if call.kind == "watch":
+            self._words.watch(stream)
+            return kinds.WordAnswer(outcome="held")
+        change = _find_change(call)
+        if change is None:
+            return kinds.WordAnswer(outcome="unknown", reason="no such call")
+        try:
+            holding = await self._proposer.change(call.register, change, _WORD_SECONDS)
+        except Breakdown as breakdown:
+            return kinds.WordAnswer(outcome="unknown", reason=str(breakdown))
+        self._spread(call.register, holding)
+        return kinds.WordAnswer(outcome="held", number=holding.number, value=holding.value)
+
+    def _spread(self, register: str, holding: Holding) -> None:
+        self._upkeep.take_chosen(register, holding)
+        view = self._acceptor.view
+        for mate in view.members if view else ():
+            self._mates.tell_chosen(mate, register, holding)
+
+
+def _find_change(call: kinds.WordCall) -> Change | None:
+    if call.kind == "spec":
+        return hold_spec(call.number, call.value)
+    if call.kind == "evacuation":
+        return hold_evacuation(call.value)
+    return keep if call.kind == "describe" else None
--- /dev/null
+++ b/marblefold/spec_store/proposer.py
@@ -0,0 +1,140 @@
+"""Changes a register by ballot over a majority of the view."""
+
+import asyncio
+import random
+import time
+from typing import Awaitable, Callable, NamedTuple, Protocol
+
+from marblefold.breakdowns import Breakdown
+from marblefold.inner_protocol.messages import kinds
+from marblefold.spec_store.ballots import NO_BALLOT, Ballot, Holding, read_holding
+from marblefold.spec_store.changes import Change, Held
+from marblefold.spec_store.view import View, read_view
+
+__all__ = ["MateCaller", "Proposer"]
+
+_PHASE_SECONDS = 0.7
+_PAUSE_SECONDS = (0.005, 0.04)
+
+
+class MateCaller(Protocol):
+    """How a proposer reaches the acceptors, its own among them."""
+
+    async def call(self, mate: str, call: kinds.StoreCall) -> kinds.StoreAnswer: ...
+
+    def learn_view(self, view: View) -> None: ...
+
+    def current_view(self) -> View | None: ...
+
+
+class _Promises(NamedTuple):
+    """What a majority promised: their lives and what they hold."""
+
+    lives: dict[str, str]
+    holdings: list[Holding]
+
+
+class Proposer:
+    """Proposes changes one after the other for each register."""
+
+    def __init__(
+        self, mates: MateCaller, name: str,
+        sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._mates = mates
+        self._name = name
+        self._sleep = sleep
+        self._clock = clock
+        self._counter = 0
+        self._turns: dict[str, asyncio.Lock] = {}
+
+    async def change(self, register: str, change: Change, seconds: float) -> Holding:
+        """What a majority holds after the change, or a Breakdown if none answers."""
+        end = self._clock() + seconds
+        turn = self._turns.setdefault(register, asyncio.Lock())
+        # Two changes of our own would only outbid each other.
+        async with turn:
+            while True:
+                view = self._mates.current_view()
+                if view is None:
+                    raise Breakdown("propose", "no view known")
+                held = await self._try(view, register, change)
+                if held is not None:
+                    return held
+                pause = random.uniform(*_PAUSE_SECONDS)
+                if self._clock() + pause >= end:
+                    raise Breakdown("propose", f"no majority for {register}")
+                await self._sleep(pause)
+
+    async def _try(self, view: View, register: str, change: Change) -> Holding | None:
+        self._counter += 1
+        ballot = Ballot(self._counter, self._name)
+        promises = await self._prepare(view, register, ballot)
+        if promises is None:
+            return None
+        newest = max(promises.holdings, key=lambda holding: holding.ballot)
+        held = Held(newest.number, newest.value)
+        wanted = change(held)
+        # Held by a whole majority under one ballot already: nothing to settle.
+        is_settled = all(holding.ballot == newest.ballot for holding in promises.holdings)
+        if wanted == held and is_settled:
+            return newest
+        call = kinds.StoreCall(
+            kind="accept", view=view.pack(), register=register, ballot=ballot.pack(),
+            number=wanted.number, value=wanted.value, lives=promises.lives)
+        answers = await self._ask(list(promises.lives), call, view.majority)
+        if len(answers) < view.majority:
+            return None
+        holding = Holding(NO_BALLOT, ballot, wanted.number, wanted.value)
+        return holding
+
+    async def _prepare(self, view: View, register: str, ballot: Ballot) -> _Promises | None:
+        call = kinds.StoreCall(
+            kind="prepare", view=view.pack(), register=register, ballot=ballot.pack())
+        answers = await self._ask(list(view.members), call, view.majority)
+        if len(answers) < view.majority:
+            return None
+        return _Promises(
+            {mate: answer.life for mate, answer in answers.items()},
+            [read_holding(answer.accepted[0]) for answer in answers.values()])
+
+    async def _ask(
+        self, mates: list[str], call: kinds.StoreCall, enough: int,
+    ) -> dict[str, kinds.StoreAnswer]:
+        """The agreeing answers, as soon as they are enough or cannot be."""
+        loop = asyncio.get_running_loop()
+        tasks = {loop.create_task(self._mates.call(mate, call)): mate for mate in mates}
+        agreed: dict[str, kinds.StoreAnswer] = {}
+        pending = set(tasks)
+        end = self._clock() + _PHASE_SECONDS
+        while pending and len(agreed) < enough and len(agreed) + len(pending) >= enough:
+            left = end - self._clock()
+            if left <= 0:
+                break
+            done, pending = await asyncio.wait(
+                pending, timeout=left, return_when=asyncio.FIRST_COMPLETED)
+            for task in done:
+                self._sort(tasks[task], task, agreed)
+        # The others still get to hold it: theirs is a copy more.
+        for task in pending:
+            task.add_done_callback(_forget)
+        return agreed
+
+    def _sort(
+        self, mate: str, task: asyncio.Task, agreed: dict[str, kinds.StoreAnswer],
+    ) -> None:
+        if task.exception() is not None:
+            return
+        answer = task.result()
+        if answer.agreed:
+            agreed[mate] = answer
+            return
+        self._counter = max(self._counter, answer.promised.counter)
+        if answer.view:
+            self._mates.learn_view(read_view(answer.view))
+
+
+def _forget(task: asyncio.Task) -> None:
+    if not task.cancelled():
+        task.exception()
--- /dev/null
+++ b/marblefold/spec_store/upkeep.py
@@ -0,0 +1,176 @@
+"""What a store does of its own accord: reads, mends, and swaps a lost member."""
+
+import asyncio
+import hashlib
+import random
+import time
+import uuid
+
+from marblefold.breakdowns import Breakdown
+from marblefold.inner_protocol.messages import kinds
+from marblefold.logs import log
+from marblefold.spec_store.acceptor import VIEW_REGISTER, Acceptor, Standing
+from marblefold.spec_store.ballots import read_holding
+from marblefold.spec_store.changes import change_view, keep
+from marblefold.spec_store.mate_calls import StoreMates
+from marblefold.spec_store.proposer import Proposer
+from marblefold.spec_store.view import read_view
+from marblefold.spec_store.words import ChosenWords
+
+__all__ = ["Upkeep"]
+
+_ROUND_SECONDS = 0.3
+_GONE_SECONDS = 2.0
+_WAITING_SECONDS = 2.0
+_SETTLE_SECONDS = 1.5
+
+
+class Upkeep:
+    """The rounds of one store."""
+
+    def __init__(
+        self, acceptor: Acceptor, mates: StoreMates, proposer: Proposer, words: ChosenWords,
+        seeds: list[str],
+    ) -> None:
+        self._acceptor = acceptor
+        self._mates = mates
+        self._proposer = proposer
+        self._words = words
+        self._seeds = seeds
+        self._began = time.monotonic()
+        self._waiting: dict[str, float] = {}
+        self._unsettled: set[str] | None = None
+
+    async def run(self) -> None:
+        """Makes rounds for ever; one that fails is made again."""
+        while True:
+            try:
+                await self._round()
+            except Breakdown as breakdown:
+                log.info("round", step=breakdown.step, mate=breakdown.mate,
+                         reason=breakdown.reason)
+            await asyncio.sleep(_ROUND_SECONDS * random.uniform(0.8, 1.2))
+
+    def note_waiting(self, newcomer: str) -> None:
+        """A store outside the view would take a place in it."""
+        self._waiting[newcomer] = time.monotonic()
+
+    async def _round(self) -> None:
+        acceptor = self._acceptor
+        if acceptor.standing is Standing.READING:
+            await self._read()
+        if acceptor.standing is Standing.VOTING:
+            if acceptor.has_open_view:
+                await self._settle(VIEW_REGISTER)
+            await self._settle_all()
+            await self._swap_lost()
+        await self._compare()
+
+    async def _read(self) -> None:
+        """Reads all registers from enough others, then votes."""
+        acceptor = self._acceptor
+        mates = acceptor.view.members if acceptor.view else self._seeds
+        others = [mate for mate in mates if mate != acceptor.address]
+        kind = "read" if acceptor.is_member else "join"
+        answers = await self._ask_all(others, kinds.StoreCall(
+            kind=kind, view=acceptor.pack_view()))
+        known = acceptor.view
+        for answer in answers:
+            if answer.view:
+                acceptor.take_view(read_view(answer.view))
+        # Another view than the one we asked under: ask again under that.
+        if acceptor.view != known or not acceptor.is_member or kind != "read":
+            return
+        agreed = [answer for answer in answers if answer.agreed]
+        if len(agreed) < acceptor.view.reading:
+            return
+        acceptor.finish_reading(agreed)
+        self._unsettled = None
+        log.info("reading done", registers=len(acceptor.holdings), view=acceptor.view.number)
+
+    async def _settle_all(self) -> None:
+        """After a start, finds out which of the words held here hold at all."""
+        if self._unsettled is None:
+            self._unsettled = set(self._acceptor.holdings)
+        for register in list(self._unsettled):
+            await self._settle(register)
+            self._unsettled.discard(register)
+
+    async def _settle(self, register: str) -> None:
+        holding = await self._proposer.change(register, keep, _SETTLE_SECONDS)
+        self.take_chosen(register, holding)
+
+    def take_chosen(self, register: str, holding) -> None:
+        """Something is known to hold."""
+        if not holding.value:
+            return
+        self._acceptor.take_chosen(register, holding)
+        self._words.put(register, holding)
+
+    async def _compare(self) -> None:
+        """Compares with every other member; whoever is behind takes a frame."""
+        acceptor = self._acceptor
+        if acceptor.view is None:
+            return
+        call = kinds.StoreCall(
+            kind="compare", view=acceptor.pack_view(), chosen=self._words.ballots())
+        others = [mate for mate in acceptor.view.members if mate != acceptor.address]
+        for answer in await self._ask_all(others, call):
+            for message in answer.accepted:
+                self.take_chosen(message.register, read_holding(message))
+
+    async def _swap_lost(self) -> None:
+        """Swaps a member that is gone for a store that waits, if that is our duty."""
+        now = time.monotonic()
+        view = self._acceptor.view
+        waiting = sorted(
+            mate for mate, at in self._waiting.items()
+            if now - at < _WAITING_SECONDS and mate not in view.members)
+        lost = [
+            mate for mate in view.members
+            if mate != self._acceptor.address
+            and self._mates.silence(mate, self._began) > _GONE_SECONDS
+        ]
+        if not waiting or not lost:
+            return
+        gone = lost[0]
+        live = [mate for mate in view.members if mate not in lost]
+        # The duty falls to one live member by key; the view register is the
+        # fence that refuses the act of any other.
+        if max(live, key=lambda mate: _rank(gone, mate)) != self._acceptor.address:
+            return
+        if not await self._is_gone_for_others(gone, live):
+            return
+        following = view.swap(gone, waiting[0], uuid.uuid4().hex)
+        holding = await self._proposer.change(
+            VIEW_REGISTER, change_view(view, following), _SETTLE_SECONDS)
+        self.take_chosen(VIEW_REGISTER, holding)
+        log.info("view changed", gone=gone, newcomer=waiting[0], view=following.number)
+
+    async def _is_gone_for_others(self, gone: str, live: list[str]) -> bool:
+        """A second opinion: whether the others have not heard it either."""
+        others = [mate for mate in live if mate != self._acceptor.address]
+        answers = await self._ask_all(others, kinds.StoreCall(
+            kind="opinion", view=self._acceptor.pack_view(), register=gone))
+        return bool(answers) and all(answer.agreed for answer in answers)
+
+    def opinion(self, mate: str) -> bool:
+        """Whether the mate is gone as far as we can tell."""
+        return self._mates.silence(mate, self._began) > _GONE_SECONDS
+
+    async def _ask_all(self, mates: list[str], call: kinds.StoreCall) -> list[kinds.StoreAnswer]:
+        results = await asyncio.gather(
+            *(self._mates.call(mate, kinds.StoreCall.FromString(call.SerializeToString()))
+              for mate in mates), return_exceptions=True)
+        answers = []
+        for result in results:
+            if isinstance(result, Breakdown):
+                continue
+            if isinstance(result, BaseException):
+                raise result
+            answers.append(result)
+        return answers
+
+
+def _rank(key: str, mate: str) -> bytes:
+    return hashlib.sha256(f"{key}|{mate}".encode()).digest()
--- /dev/null
+++ b/marblefold/spec_store/words.py
@@ -0,0 +1,53 @@
+"""What is known to hold, and who wants to hear of it."""
+
+from marblefold.inner_protocol.frames import FrameKind
+from marblefold.inner_protocol.mate_stream import MateStream
+from marblefold.inner_protocol.messages import kinds, pack_message
+from marblefold.spec_store.ballots import Ballot, Holding, pack_holding
+
+__all__ = ["ChosenWords"]
+
+
+class ChosenWords:
+    """The newest chosen holding of every register, and its watchers."""
+
+    def __init__(self) -> None:
+        self.holdings: dict[str, Holding] = {}
+        self._watchers: set[MateStream] = set()
+
+    def put(self, register: str, holding: Holding) -> bool:
+        """Takes in a chosen holding; tells whether it was news."""
+        held = self.holdings.get(register)
+        if not holding.value or (held is not None and holding.ballot <= held.ballot):
+            return False
+        self.holdings[register] = holding
+        payload = pack_message(pack_holding(register, holding))
+        for stream in self._watchers:
+            stream.send(FrameKind.TELL, 0, payload)
+        return True
+
+    def watch(self, stream: MateStream) -> None:
+        """The registry behind the stream hears all that holds, from now on."""
+        self._watchers.add(stream)
+        for register, holding in self.holdings.items():
+            stream.send(FrameKind.TELL, 0, pack_message(pack_holding(register, holding)))
+
+    def forget(self, stream: MateStream) -> None:
+        """A watcher is gone."""
+        self._watchers.discard(stream)
+
+    def ballots(self) -> list[kinds.Accepted]:
+        """The ballots of all that holds, for mates to compare."""
+        return [
+            kinds.Accepted(register=register, ballot=holding.ballot.pack())
+            for register, holding in self.holdings.items()
+        ]
+
+    def newer_than(self, ballots: list[kinds.Accepted]) -> list[kinds.Accepted]:
+        """What holds here and is newer than a mate's."""
+        theirs = {message.register: Ballot.read(message.ballot) for message in ballots}
+        return [
+            pack_holding(register, holding)
+            for register, holding in self.holdings.items()
+            if register not in theirs or holding.ballot > theirs[register]
+        ]
--- /dev/null
+++ b/marblefold/wire_names.py
@@ -0,0 +1,70 @@
+"""The names that the mesh meets the outside with.
+
+The one module that repeats deploy/wire.toml: fields of bodies and of the
+config file, words, calls and headers.  Nothing else spells them.
+"""
+
+# Fields of a spec.
+SPEC_NUMBER = "spec-number"
+MAPPING_LIST = "mapping-list"
+UPSTREAM_LIST = "upstream-list"
+LIMITS = "limits"
+NAME = "name"
+HOST_NAME = "host-name"
+PATH_PREFIX = "path-prefix"
+MAPPING_KIND = "mapping-kind"
+TIME_LIMIT_MS = "time-limit-ms"
+TARGET_LATENCY_MS = "target-latency-ms"
+PRIORITY = "priority"
+UPSTREAM = "upstream"
+UPSTREAM_SPLIT = "upstream-split"
+WEIGHT = "weight"
+ATTEMPT_LIMIT = "attempt-limit"
+HOME_REGIONS = "home-regions"
+HEALTH_CHECK_PATH = "health-check-path"
+STREAM_LIMIT = "stream-limit"
+COLD_START_S = "cold-start-s"
+COLDSTART_PER_S = "coldstart-per-s"
+MAX_HEADER_BYTES = "max-header-bytes"
+MAX_BODY_BYTES = "max-body-bytes"
+HEADER_TIMEOUT_MS = "header-timeout-ms"
+IDLE_TIMEOUT_MS = "idle-timeout-ms"
+
+# Words of a spec.
+READ_ONLY = "read_only"
+MUTATING = "mutating"
+UPLOAD = "upload"
+
+# Fields and words of a target's beat.
+ADDRESS = "address"
+ZONE = "zone"
+CAPACITY_SLOTS = "capacity-slots"
+STATE = "state"
+COLD_REMAINING_MS = "cold-remaining-ms"
+BEAT_NUMBER = "beat-number"
+READY = "ready"
+DRAINING = "draining"
+
+# Fields of an answer to a refused call.
+REASON = "reason"
+
+# Calls.
+READINESS_CALL = ("GET", "/-/readiness")
+SPEC_PATH = "/mesh/spec"
+TARGET_PATH = "/mesh/targets/{}"
+EVACUATION_PATH = "/mesh/evacuations/{}"
+
+# Headers.
+ATTEMPT_ID = b"Attempt-Id"
+DEADLINE_MS = b"Deadline-Ms"
+SERVER_SEAL = b"Server-Seal"
+EXPECTED_INSTANCE = b"Expected-Instance"
+SERVER_LOAD = b"Server-Load"
+NOT_EXECUTED = b"Not-Executed"
+RETRY_AFTER = b"Retry-After"
+CALLER_SERVICE = b"Caller-Service"
+INSTANCE_ID = b"Instance-Id"
+COLD_MS = b"Cold-Ms"
+
+# The environment variable that names the config file of a node.
+CONFIG_FILE_VARIABLE = "MARBLEFOLD_NODE_FILE"
