--- /dev/null
+++ b/tests/test_store_safety.py
@@ -0,0 +1,293 @@
+"""Stores under every mix of races, cuts, losses of power, wipes and swaps.
+
+The plain model is one number: the highest that was acknowledged.  Whatever is
+delivered, lost or wiped, a later acknowledged word is never older, and two
+words of one number are never different.
+"""
+
+import asyncio
+
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from marblefold.breakdowns import Breakdown
+from marblefold.inner_protocol.messages import kinds
+from marblefold.spec_store.acceptor import VIEW_REGISTER, Acceptor, Standing
+from marblefold.spec_store.changes import change_view, hold_spec
+from marblefold.spec_store.mate_calls import answer_call
+from marblefold.spec_store.proposer import Proposer
+from marblefold.spec_store.view import read_view
+
+SEEDS = ["a:1", "b:1", "c:1"]
+ALL = SEEDS + ["d:1"]
+
+
+class MemoryRecords:
+    """A disk that keeps what was written, until it is wiped."""
+
+    def __init__(self):
+        self.records = {}
+
+    def load(self):
+        return dict(self.records)
+
+    def write(self, name, data):
+        self.records[name] = data
+
+
+class Network:
+    """Holds every message until the test delivers or loses it."""
+
+    def __init__(self):
+        self.waiting = []
+
+    async def send(self, deliver):
+        future = asyncio.get_running_loop().create_future()
+        self.waiting.append((deliver, future))
+        return await future
+
+
+class Store:
+    """One store of the simulated system."""
+
+    def __init__(self, system, address, is_first):
+        self.system = system
+        self.address = address
+        self.records = MemoryRecords()
+        self.starts = 0
+        self.acceptor = Acceptor(address, self.records, SEEDS, is_first)
+        self.restart_proposer()
+
+    def restart_proposer(self):
+        self.starts += 1
+        name = f"{self.address}/{self.acceptor.life}/{self.starts}"
+        self.proposer = Proposer(self, name, sleep=lambda _seconds: asyncio.sleep(0))
+
+    def lose_power(self):
+        self.acceptor = Acceptor(self.address, self.records, SEEDS, False)
+        self.restart_proposer()
+
+    def wipe(self):
+        self.records = MemoryRecords()
+        self.lose_power()
+
+    def current_view(self):
+        return self.acceptor.view
+
+    def learn_view(self, view):
+        self.acceptor.take_view(view)
+
+    async def call(self, mate, call):
+        copy = kinds.StoreCall.FromString(call.SerializeToString())
+        copy.sender = self.address
+        copy.sender_life = self.acceptor.life
+        store = self.system.stores[mate]
+        if mate == self.address:
+            return answer_call(self.acceptor, copy)
+
+        def deliver():
+            return answer_call(store.acceptor, copy)
+
+        deliver.mate = mate
+        answer = await self.system.network.send(deliver)
+        # The way back may be lost too, after the mate has acted.
+        return await self.system.network.send(lambda: answer)
+
+
+class StoreMachine(RuleBasedStateMachine):
+    """Four machines, three of them in the first view."""
+
+    def __init__(self):
+        super().__init__()
+        self.loop = asyncio.new_event_loop()
+        self.network = Network()
+        self.stores = {address: Store(self, address, True) for address in ALL}
+        self.next_number = 0
+        self.acknowledged = 0
+        self.values = {}
+        self.tasks = []
+        self.wiped = None
+
+    def turn(self):
+        for _ in range(6):
+            self.loop.run_until_complete(asyncio.sleep(0))
+        for entry in list(self.tasks):
+            task, floor, life = entry
+            if task.done():
+                self.tasks.remove(entry)
+                self.judge(task, floor)
+
+    def judge(self, task, floor):
+        if task.exception() is not None:
+            assert isinstance(task.exception(), Breakdown)
+            return
+        holding = task.result()
+        assert holding.number >= floor, "an acknowledged word was lost"
+        known = self.values.setdefault(holding.number, holding.value)
+        assert known == holding.value, "the register forked"
+        self.acknowledged = max(self.acknowledged, holding.number)
+
+    @rule(address=st.sampled_from(ALL))
+    def propose(self, address):
+        store = self.stores[address]
+        if store.acceptor.view is None or len(self.tasks) > 3:
+            return
+        self.next_number += 1
+        change = hold_spec(self.next_number, f"{address} {self.next_number}".encode())
+        task = self.loop.create_task(store.proposer.change("spec", change, 0.0))
+        self.tasks.append((task, self.acknowledged, store.acceptor.life))
+        self.turn()
+
+    @rule(address=st.sampled_from(SEEDS), slow=st.sampled_from(SEEDS))
+    def propose_past(self, address, slow):
+        """Proposes, and delivers all but what goes to one slow store."""
+        self.propose(address)
+        for _ in range(12):
+            for entry in list(self.network.waiting):
+                deliver, future = entry
+                if getattr(deliver, "mate", None) == slow:
+                    continue
+                self.network.waiting.remove(entry)
+                if not future.done():
+                    future.set_result(deliver())
+                self.turn()
+
+    @rule(address=st.sampled_from(SEEDS))
+    @precondition(lambda self: self.all_vote())
+    def wipe_and_read(self, address):
+        self.stores[address].wipe()
+        self.read(address)
+        self.read(address)
+
+    @rule(index=st.integers(0, 30), repeat=st.integers(1, 12))
+    def deliver(self, index, repeat):
+        for _ in range(repeat):
+            if not self.network.waiting:
+                return
+            deliver, future = self.network.waiting.pop(index % len(self.network.waiting))
+            if not future.done():
+                future.set_result(deliver())
+            self.turn()
+
+    @rule(index=st.integers(0, 30))
+    def lose(self, index):
+        if self.network.waiting:
+            _deliver, future = self.network.waiting.pop(index % len(self.network.waiting))
+            if not future.done():
+                future.set_exception(Breakdown("network", "lost"))
+            self.turn()
+
+    @rule(address=st.sampled_from(ALL))
+    def lose_power(self, address):
+        self.stores[address].lose_power()
+
+    @rule(address=st.sampled_from(SEEDS))
+    @precondition(lambda self: self.all_vote())
+    def wipe(self, address):
+        # One lost disk at a time is what the system is to bear.
+        self.stores[address].wipe()
+
+    @rule(address=st.sampled_from(ALL))
+    def read(self, address):
+        store = self.stores[address]
+        acceptor = store.acceptor
+        if acceptor.standing is Standing.VOTING:
+            return
+        life = acceptor.life
+        answers = []
+        for mate in ALL:
+            if mate == address:
+                continue
+            call = kinds.StoreCall(
+                kind="read", view=acceptor.pack_view(), sender=address, sender_life=life)
+            answer = answer_call(self.stores[mate].acceptor, call)
+            if acceptor.view and mate in acceptor.view.members and answer.agreed:
+                answers.append(answer)
+            if answer.view:
+                acceptor.take_view(read_view(answer.view))
+        same = {answer.view for answer in answers} == {acceptor.pack_view()}
+        if acceptor.is_member and same and len(answers) >= acceptor.view.reading:
+            acceptor.finish_reading(answers)
+
+    @rule(by=st.sampled_from(ALL), gone=st.sampled_from(ALL), newcomer=st.sampled_from(ALL))
+    @precondition(lambda self: self.all_vote())
+    def swap(self, by, gone, newcomer):
+        acceptor = self.stores[by].acceptor
+        view = acceptor.view
+        if not acceptor.is_member or gone not in view.members or newcomer in view.members:
+            return
+        following = view.swap(gone, newcomer, f"{by}{self.next_number}")
+
+        async def run():
+            holding = await self.stores[by].proposer.change(
+                VIEW_REGISTER, change_view(view, following), 0.0)
+            acceptor.take_view(read_view(holding.value))
+
+        self.loop.create_task(run()).add_done_callback(lambda task: task.exception())
+        self.turn()
+
+    def all_vote(self):
+        views = {store.acceptor.pack_view() for store in self.stores.values()}
+        return len(views) == 1 and all(
+            self.stores[mate].acceptor.standing is Standing.VOTING
+            for mate in self.stores["a:1"].acceptor.view.members)
+
+    @invariant()
+    def settled_calm_system_holds_the_word(self):
+        """In calm, a majority shows what was acknowledged."""
+        if not self.all_vote() or self.acknowledged == 0:
+            return
+        view = self.stores["a:1"].acceptor.view
+        numbers = sorted(
+            self.stores[mate].acceptor.holdings["spec"].number
+            if "spec" in self.stores[mate].acceptor.holdings else 0
+            for mate in view.members)
+        # Each majority meets a holder, so few enough may lack the word.
+        assert numbers[view.majority - 1] >= self.acknowledged
+
+    def teardown(self):
+        for _deliver, future in self.network.waiting:
+            if not future.done():
+                future.set_exception(Breakdown("network", "over"))
+        self.network.waiting.clear()
+        for task in asyncio.all_tasks(self.loop):
+            task.cancel()
+        for _ in range(20):
+            self.loop.run_until_complete(asyncio.sleep(0))
+        self.loop.close()
+
+
+StoreMachine.TestCase.settings = settings(
+    max_examples=250, stateful_step_count=50, deadline=None,
+    suppress_health_check=list(HealthCheck))
+TestStoreSafety = StoreMachine.TestCase
+
+
+def make_call(kind, acceptor_view, **fields):
+    """A call between stores of the first view."""
+    return kinds.StoreCall(kind=kind, view=acceptor_view, **fields)
+
+
+def test_an_accept_that_counts_on_a_wiped_life_is_refused():
+    """The proposer d got c's accept before c lost its disk and read anew."""
+    disks = {address: MemoryRecords() for address in SEEDS}
+    stores = {address: Acceptor(address, disks[address], SEEDS, True) for address in SEEDS}
+    view = stores["a:1"].pack_view()
+    ballot = kinds.Ballot(counter=5, proposer="d:1")
+    prepare = make_call("prepare", view, register="spec", ballot=ballot)
+    lives = {mate: answer_call(stores[mate], prepare).life for mate in SEEDS}
+    accept = make_call(
+        "accept", view, register="spec", ballot=ballot, number=9, value=b"nine", lives=lives)
+    assert answer_call(stores["c:1"], accept).agreed
+    stores["c:1"] = Acceptor("c:1", MemoryRecords(), SEEDS, False)
+    reader = stores["c:1"]
+    reader.take_view(read_view(view))
+    read = make_call("read", view, sender="c:1", sender_life=reader.life)
+    reader.finish_reading([answer_call(stores[mate], read) for mate in ("a:1", "b:1")])
+    # Only now does the accept reach a: with c's lost one it would be two of three.
+    late = answer_call(stores["a:1"], accept)
+    assert not late.agreed and late.reason == "counts on a past life"
+    # The same must hold after a itself lost power.
+    stores["a:1"] = Acceptor("a:1", disks["a:1"], SEEDS, False)
+    assert not answer_call(stores["a:1"], accept).agreed
