Prefer targets of the own zone by what a hop weighs; probe members

A hop to another zone now counts an extra latency by its kilobytes. Also: membership by probes with suspicion; ssl is left out (5 MB a process).

--- a/marblefold/__main__.py
+++ b/marblefold/__main__.py
@@ -2,6 +2,10 @@
 
 import sys
 
-from marblefold.command_line import main
+# No program speaks TLS, and ssl costs each of them five megabytes: asyncio and
+# aiohttp both do without it when it cannot be imported.
+sys.modules["ssl"] = None
+
+from marblefold.command_line import main  # noqa: E402
 
 sys.exit(main(sys.argv))
--- /dev/null
+++ b/marblefold/membership/datagrams.py
@@ -0,0 +1,76 @@
+"""Carries the prober's messages as datagrams."""
+
+import asyncio
+import time
+
+from marblefold.inner_protocol.messages import kinds
+from marblefold.logs import log
+from marblefold.membership.members import Liveness, Member
+from marblefold.membership.prober import Message, Prober
+from marblefold.node_config.reading import Address
+
+__all__ = ["MembershipSocket"]
+
+_TICK_SECONDS = 0.1
+
+
+def _pack(message: Message) -> bytes:
+    return kinds.Probe(
+        kind=message.kind, number=message.number, subject=message.subject,
+        members=[
+            kinds.Member(
+                address=member.address, node=member.node, role=member.role,
+                zone=member.zone, life=member.life, incarnation=member.incarnation,
+                state=member.liveness.name)
+            for member in message.members
+        ],
+    ).SerializeToString()
+
+
+def _unpack(data: bytes, mate: str) -> Message:
+    probe = kinds.Probe.FromString(data)
+    return Message(mate, probe.kind, probe.number, probe.subject, tuple(
+        Member(
+            member.address, member.node, member.role, member.zone, member.life,
+            member.incarnation, Liveness[member.state])
+        for member in probe.members
+    ))
+
+
+class MembershipSocket(asyncio.DatagramProtocol):
+    """Owns the datagram socket of a node's membership."""
+
+    def __init__(self, prober: Prober) -> None:
+        self._prober = prober
+        self._transport: asyncio.DatagramTransport | None = None
+
+    async def start(self, address: str) -> None:
+        """Begins to listen."""
+        own = Address.parse(address)
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(lambda: self, local_addr=(own.host, own.port))
+
+    async def run(self) -> None:
+        """Lets the prober act, for ever."""
+        while True:
+            self._send(self._prober.tick(time.monotonic()))
+            await asyncio.sleep(_TICK_SECONDS)
+
+    def connection_made(self, transport) -> None:
+        self._transport = transport
+
+    def datagram_received(self, data: bytes, address) -> None:
+        try:
+            message = _unpack(data, f"{address[0]}:{address[1]}")
+        except Exception as error:
+            log.info("datagram cannot be read", mate=str(address), reason=str(error))
+            return
+        self._send(self._prober.receive(message, time.monotonic()))
+
+    def error_received(self, error: Exception) -> None:
+        """A dead port says so; the probes find out all the same."""
+
+    def _send(self, messages: list[Message]) -> None:
+        for message in messages:
+            host, _sign, port = message.mate.rpartition(":")
+            self._transport.sendto(_pack(message), (host, int(port)))
--- /dev/null
+++ b/marblefold/membership/node.py
@@ -0,0 +1,48 @@
+"""A node's membership, put together from its config."""
+
+import time
+from typing import Callable
+
+from marblefold.inner_protocol.ports import REGISTRY, inner_address
+from marblefold.membership.datagrams import MembershipSocket
+from marblefold.membership.members import Liveness, Member
+from marblefold.membership.prober import Prober
+from marblefold.node_config.watching import ConfigWatch
+
+__all__ = ["NodeMembership"]
+
+
+class NodeMembership:
+    """Tells who lives, as far as this node knows."""
+
+    def __init__(
+        self, watch: ConfigWatch, role: str, port: int,
+        on_change: Callable[[Member], None] = lambda member: None,
+    ) -> None:
+        config = watch.config
+        self._watch = watch
+        self._address = inner_address(config.host, config, port)
+        own = Member(
+            self._address, config.node_name, role, config.zone,
+            int(time.time() * 1000), 0, Liveness.ALIVE)
+        self._prober = Prober(own, self._seeds, on_change)
+        self._socket = MembershipSocket(self._prober)
+
+    async def start(self) -> None:
+        """Begins to listen for datagrams."""
+        await self._socket.start(self._address)
+
+    async def run(self) -> None:
+        """Takes part, for ever."""
+        await self._socket.run()
+
+    def members(self, role: str) -> list[Member]:
+        """The other members of a role that are not thought gone."""
+        return [
+            member for member in self._prober.table
+            if member.role == role and member.liveness is not Liveness.GONE
+        ]
+
+    def _seeds(self) -> list[str]:
+        config = self._watch.config
+        return [inner_address(seed.host, config, REGISTRY) for seed in config.seeds]
--- /dev/null
+++ b/marblefold/membership/prober.py
@@ -0,0 +1,192 @@
+"""Probes a few mates in turn, asks others for a second opinion, and suspects
+before it removes.  Pure: it is told the time and what came, and says what to
+send.
+"""
+
+import random
+from typing import Callable, NamedTuple
+
+from marblefold.membership.members import Liveness, Member, MemberTable
+
+__all__ = ["Message", "Prober", "ProberConfig"]
+
+
+class ProberConfig(NamedTuple):
+    """How patient the probing is, in seconds."""
+
+    period: float = 0.4
+    direct: float = 0.25
+    indirect: float = 0.35
+    suspicion: float = 1.0
+    helpers: int = 3
+    gone_probe: float = 1.0
+    forget: float = 60.0
+    news: int = 8
+
+
+class Message(NamedTuple):
+    """A datagram to send, or one that came."""
+
+    mate: str
+    kind: str
+    number: int
+    subject: str
+    members: tuple[Member, ...]
+
+
+class _Pending(NamedTuple):
+    """A probe that has not been acknowledged."""
+
+    member: Member
+    sent: float
+    is_indirect: bool
+
+
+class _Relay(NamedTuple):
+    """A probe made for somebody else."""
+
+    asker: str
+    number: int
+
+
+class Prober:
+    """One node's part in finding out who lives."""
+
+    def __init__(
+        self, own: Member, seeds: Callable[[], list[str]],
+        on_change: Callable[[Member], None] = lambda member: None,
+        config: ProberConfig = ProberConfig(), seed: int | None = None,
+    ) -> None:
+        self.table = MemberTable(own, on_change)
+        self._seeds = seeds
+        self._config = config
+        self._random = random.Random(seed)
+        self._number = 0
+        self._pending: dict[int, _Pending] = {}
+        self._relays: dict[int, _Relay] = {}
+        self._turn: list[str] = []
+        self._next_probe = 0.0
+        self._next_gone_probe = 0.0
+
+    def tick(self, now: float) -> list[Message]:
+        """What is to be sent now."""
+        out = self._check_pending(now)
+        self._end_suspicions(now)
+        if now >= self._next_probe:
+            self._next_probe = now + self._config.period
+            out.extend(self._probe_next(now))
+        if now >= self._next_gone_probe:
+            self._next_gone_probe = now + self._config.gone_probe
+            out.extend(self._probe_gone(now))
+        return out
+
+    def receive(self, message: Message, now: float) -> list[Message]:
+        """Takes in a datagram; the answers to it."""
+        for member in message.members:
+            self.table.take(member, now)
+        self._note_sign_of_life(message.mate, now)
+        if message.kind == "ping":
+            return [self._make(message.mate, "acknowledgement", message.number, "")]
+        if message.kind == "ping_request":
+            self._number += 1
+            self._relays[self._number] = _Relay(message.mate, message.number)
+            return [self._make(message.subject, "ping", self._number, "")]
+        relay = self._relays.pop(message.number, None)
+        # Somebody asked us about this mate: it lives.
+        if relay is not None:
+            return [self._make(relay.asker, "acknowledgement", relay.number, message.mate)]
+        self._pending.pop(message.number, None)
+        return []
+
+    def _note_sign_of_life(self, address: str, now: float) -> None:
+        member = self.table.find(address)
+        if member is None or member.liveness is Liveness.ALIVE:
+            return
+        # It speaks, so it lives; only its own word counts with the others,
+        # so the answer tells it what is thought of it.
+        self.table.take(
+            member._replace(incarnation=member.incarnation + 1, liveness=Liveness.ALIVE), now)
+
+    def _probe_next(self, now: float) -> list[Message]:
+        members = [member for member in self.table if member.liveness is not Liveness.GONE]
+        if not members:
+            return [self._ping(address) for address in self._seeds()
+                    if address != self.table.own.address]
+        if not self._turn:
+            self._turn = [member.address for member in members]
+            self._random.shuffle(self._turn)
+        while self._turn:
+            member = self.table.find(self._turn.pop())
+            if member is not None and member.liveness is not Liveness.GONE:
+                return [self._start_probe(member, now)]
+        return []
+
+    def _probe_gone(self, now: float) -> list[Message]:
+        """A cut may heal: the gone, and seeds nobody knows, are tried at times."""
+        out = [
+            self._ping(address) for address in self._seeds()
+            if address != self.table.own.address and self.table.find(address) is None
+        ]
+        gone = [member for member in self.table if member.liveness is Liveness.GONE]
+        for member in gone:
+            if now - self.table.since[member.address] > self._config.forget:
+                self.table.forget(member.address)
+        if gone:
+            out.append(self._ping(self._random.choice(gone).address))
+        return out
+
+    def _start_probe(self, member: Member, now: float) -> Message:
+        self._number += 1
+        self._pending[self._number] = _Pending(member, now, False)
+        return self._make(member.address, "ping", self._number, "")
+
+    def _check_pending(self, now: float) -> list[Message]:
+        out = []
+        config = self._config
+        for number, pending in list(self._pending.items()):
+            age = now - pending.sent
+            if not pending.is_indirect and age >= config.direct:
+                self._pending[number] = pending._replace(is_indirect=True)
+                out.extend(self._ask_helpers(pending.member, number))
+            elif pending.is_indirect and age >= config.direct + config.indirect:
+                del self._pending[number]
+                held = self.table.find(pending.member.address)
+                if held is not None and held.liveness is Liveness.ALIVE:
+                    self.table.judge(held, Liveness.SUSPECT, now)
+        for number in [number for number in self._relays if number < self._number - 200]:
+            del self._relays[number]
+        return out
+
+    def _ask_helpers(self, member: Member, number: int) -> list[Message]:
+        helpers = [
+            other for other in self.table
+            if other.liveness is Liveness.ALIVE and other.address != member.address
+        ]
+        picked = self._random.sample(helpers, min(len(helpers), self._config.helpers))
+        # The loss of one datagram is likely enough to ask once more ourselves.
+        return [self._make(member.address, "ping", number, "")] + [
+            self._make(helper.address, "ping_request", number, member.address)
+            for helper in picked
+        ]
+
+    def _end_suspicions(self, now: float) -> None:
+        for member in list(self.table):
+            if member.liveness is not Liveness.SUSPECT:
+                continue
+            if now - self.table.since[member.address] >= self._config.suspicion:
+                self.table.judge(member, Liveness.GONE, now)
+
+    def _ping(self, address: str) -> Message:
+        self._number += 1
+        return self._make(address, "ping", self._number, "")
+
+    def _make(self, mate: str, kind: str, number: int, subject: str) -> Message:
+        members = [self.table.own]
+        known = self.table.find(mate)
+        # A mate must hear what is thought of it, to refute it.
+        if known is not None and known.liveness is not Liveness.ALIVE:
+            members.append(known)
+        members.extend(
+            member for member in self.table.pick_news(self._config.news)
+            if member.address != self.table.own.address)
+        return Message(mate, kind, number, subject, tuple(members))
--- a/marblefold/proxy/program.py
+++ b/marblefold/proxy/program.py
@@ -14,6 +14,8 @@
 from marblefold.inner_protocol.messages import kinds
 from marblefold.inner_protocol.ports import PROXY, REGISTRY, inner_address
 from marblefold.logs import log
+from marblefold.membership.members import Liveness, Member
+from marblefold.membership.node import NodeMembership
 from marblefold.node_config.reading import NodeConfig
 from marblefold.node_config.watching import ConfigWatch
 from marblefold.operator_spec.mapping_table import MappingTable
@@ -51,6 +53,7 @@
             config.node_name,
             self._seed_registries,
             self.view, self._make_notice)
+        self._membership = NodeMembership(watch, "proxy", PROXY, self._on_member)
         nominator = Nominator(self.view, config.zone, config.region)
         self.surroundings = Surroundings(self.view, nominator, config.bounds)
         self._mates = MateBook(self)
@@ -84,9 +87,10 @@
         await self._control.start(listen["control-plane"])
         await self._readiness_server.start(listen["readiness"])
         await self.outbound.start(listen["outbound"])
+        await self._membership.start()
         log.info("serving", node=self._config.node_name, inner=inner)
         for run in (
-            self._watch.run(), self.follower.run(), self.outbound.run(),
+            self._watch.run(), self.follower.run(), self._membership.run(), self.outbound.run(),
             self._control.run(), self._readiness_server.run(),
             self._find_target(), self._look_for_overdue(),
         ):
@@ -112,10 +116,10 @@
         self.guard.on_hop(exchange, payload)
 
     def on_call(self, stream: MateStream, number: int, payload: bytes) -> None:
-        """Mates call for nothing else."""
+        """Mates call for nothing."""
 
     def on_tell(self, stream: MateStream, payload: bytes) -> None:
-        """Mates tell nothing else."""
+        """Mates tell nothing here."""
 
     def on_lost(self, stream: MateStream) -> None:
         """A mate's stream is gone; its hops were told already."""
@@ -150,6 +154,12 @@
     def _make_notice(self) -> kinds.TargetNotice:
         return self._notices.make()
 
+    def _on_member(self, member: Member) -> None:
+        if member.liveness is Liveness.ALIVE:
+            self.view.suspects.discard(member.node)
+        else:
+            self.view.suspects.add(member.node)
+
     def _on_target_change(self) -> None:
         self.follower.tell()
 
--- a/marblefold/registry/program.py
+++ b/marblefold/registry/program.py
@@ -10,6 +10,7 @@
 from marblefold.inner_protocol.messages import kinds, unpack_message
 from marblefold.inner_protocol.ports import REGISTRY, STORE, inner_address
 from marblefold.logs import log
+from marblefold.membership.node import NodeMembership
 from marblefold.node_config.watching import ConfigWatch
 from marblefold.registry.catalogue import Catalogue
 from marblefold.registry.control_calls import ControlCalls
@@ -19,8 +20,6 @@
 
 __all__ = ["RegistryProgram"]
 
-_TOUCH_SECONDS = 1.5
-
 
 class RegistryProgram:
     """Puts the parts of a registry together and runs them."""
@@ -32,7 +31,9 @@
         self.catalogue = Catalogue(int(time.time() * 1000))
         self.words = StoreWords(
             inner_address(config.host, config, STORE), self._seed_stores, self._on_word)
-        self.feed = FeedKeeper(self.catalogue, lambda: True, self._count_proxies)
+        self._membership = NodeMembership(watch, "registry", REGISTRY)
+        self._registries: set[str] = set()
+        self.feed = FeedKeeper(self.catalogue, self._is_in_touch, self._count_proxies)
         self._streams: dict[MateStream, str] = {}
         calls = CallRouter()
         ControlCalls(self.words, lambda: set(self._watch.config.zone_regions)).add_to(calls)
@@ -47,11 +48,13 @@
         inner = inner_address(self._config.host, self._config, REGISTRY)
         host, _sign, port = inner.rpartition(":")
         await loop.create_server(lambda: MateStream(self), host, int(port), backlog=512)
+        await self._membership.start()
         await self._control.start(self._config.listen["control-plane"])
         log.info("serving", node=self._config.node_name, inner=inner)
         tasks = [
             loop.create_task(run) for run in (
-                self._watch.run(), self.words.run(), self.feed.run(), self._control.run())
+                self._watch.run(), self.words.run(), self.feed.run(), self._control.run(),
+                self._membership.run())
         ]
         await self._stop.wait()
         # Calls that were read are answered; callers know other registries.
@@ -109,10 +112,17 @@
             inner_address(member.rpartition(":")[0], self._config, REGISTRY)
             for member in members
         )
+        self._registries = set(registries)
         self.catalogue.put(kinds.Entry(
             kind="registries", key="registries", number=word.number,
             value="\n".join(registries).encode()))
 
+    def _is_in_touch(self) -> bool:
+        """Whether this registry reaches a majority of the registries."""
+        alive = {member.address for member in self._membership.members("registry")}
+        alive.add(inner_address(self._config.host, self._config, REGISTRY))
+        return len(alive & self._registries) * 2 > len(self._registries)
+
     def _count_proxies(self) -> int:
         return len(self.catalogue.entries("target"))
 
--- a/marblefold/request_path/decision.py
+++ b/marblefold/request_path/decision.py
@@ -44,7 +44,8 @@
     """What a decision may ask of its surroundings."""
 
     def nominate(
-        self, upstream: str, tried: Collection[str], homes: Collection[str] | None, now: float,
+        self, upstream: str, tried: Collection[str], homes: Collection[str] | None,
+        kilobytes: float, now: float,
     ) -> Nominee | None: ...
 
     def ask_breaker(self, upstream: str, now: float) -> Passage: ...
@@ -57,7 +58,7 @@
 
     def __init__(
         self, mapping: Mapping, upstream: str, attempt_id: str, arrived: float,
-        deadline: float, is_replayable: bool, facts: Facts,
+        deadline: float, is_replayable: bool, kilobytes: float, facts: Facts,
     ) -> None:
         self.upstream = upstream
         self.deadline = deadline
@@ -68,6 +69,7 @@
         self._aim = max(0.02, mapping.target_latency_ms.total_seconds())
         self._is_repeatable = mapping.mapping_kind == wire_names.READ_ONLY
         self._is_replayable = is_replayable
+        self._kilobytes = kilobytes
         self._offered = 0
         self._refused_hops = 0
         self._tried: set[str] = set()
@@ -108,7 +110,8 @@
         if not passage.allowed:
             return self._give_up("breaker", now, passage.retry_after)
         nominee = self._facts.nominate(
-            self.upstream, self._tried, self._mapping.home_regions, now)
+            self.upstream, self._tried, self._mapping.home_regions,
+            self._kilobytes, now)
         if nominee is None:
             return self._give_up("nominate", now)
         # What is not offered within a quarter of its aim had better be told
--- a/marblefold/request_path/executor.py
+++ b/marblefold/request_path/executor.py
@@ -50,6 +50,8 @@
         upstream = self._pick_upstream(mapping)
         decision = RequestDecision(
             mapping, upstream, request.attempt_id, request.arrived, deadline, is_whole,
+            max(len(body), request.body_length) / 1024
+            + surroundings.answer_kilobytes(mapping.name),
             surroundings)
         surroundings.note_request(upstream, time.monotonic())
         head = self._make_head(request, mapping, upstream, body, is_whole)
@@ -59,6 +61,8 @@
                 if step.answer.status >= 500 and step.step != "answered":
                     log.info("gave up", attempt=request.attempt_id, step=step.step,
                              status=step.answer.status, upstream=upstream)
+                if step.answer.status < 300:
+                    surroundings.note_answer(mapping.name, len(step.answer.body) / 1024)
                 return step.answer
             result = await self._hop(step, head, request, decision, body_limit)
             decision.note(step.target, result)
--- a/marblefold/request_path/nomination.py
+++ b/marblefold/request_path/nomination.py
@@ -12,10 +12,13 @@
 _TOLD_SECONDS = 1.0
 # A mate that broke down is passed over for so long where others can serve.
 _SHUN_SECONDS = 1.0
-# What a hop to another zone adds to the latency that we compare.
-_ZONE_SURCHARGE = 1.12
+# Bytes between zones have a price: what a kilobyte of a hop adds, in aims,
+# to the latency that is compared, and the most that it may add.
+_ZONE_SURCHARGE_PER_KILOBYTE = 0.03
+_MOST_ZONE_SURCHARGE = 1.0
 _LEARN = 0.15
-_CANDIDATES = 3
+_NEAR_CANDIDATES = 4
+_FAR_CANDIDATES = 2
 
 
 class Nominee(NamedTuple):
@@ -50,7 +53,8 @@
         self._random = random.Random(seed)
 
     def nominate(
-        self, upstream: str, tried: Collection[str], homes: Collection[str] | None, now: float,
+        self, upstream: str, tried: Collection[str], homes: Collection[str] | None,
+        kilobytes: float, now: float,
     ) -> Nominee | None:
         """The target for the next hop, or None if there is none to be had."""
         preferred: list[KnownTarget] = []
@@ -72,9 +76,11 @@
         candidates = preferred or resort
         if not candidates:
             return None
-        if len(candidates) > _CANDIDATES:
-            candidates = self._random.sample(candidates, _CANDIDATES)
-        best = min(candidates, key=lambda target: self._expected(target, now))
+        surcharge = min(_MOST_ZONE_SURCHARGE, kilobytes * _ZONE_SURCHARGE_PER_KILOBYTE)
+        best = min(
+            self._draw(candidates),
+            key=lambda target: self._expected(target, now)
+            + (surcharge if target.zone != self._zone else 0.0))
         return Nominee(best, not preferred)
 
     def begin(self, target: KnownTarget) -> None:
@@ -106,6 +112,16 @@
         """The guard does not want more before that time."""
         self._record(target.node).refused_until = until
 
+    def _draw(self, candidates: list[KnownTarget]) -> list[KnownTarget]:
+        """A few of many, so that proxies with the same news do not all agree."""
+        if len(candidates) <= _NEAR_CANDIDATES + _FAR_CANDIDATES:
+            return candidates
+        near = [target for target in candidates if target.zone == self._zone]
+        far = [target for target in candidates if target.zone != self._zone]
+        return (
+            self._random.sample(near, min(len(near), _NEAR_CANDIDATES))
+            + self._random.sample(far, min(len(far), _FAR_CANDIDATES)))
+
     def _record(self, node: str) -> _Record:
         record = self._records.get(node)
         if record is None:
@@ -124,12 +140,9 @@
                 pressure = max(pressure, told * (1.0 - age / _TOLD_SECONDS))
             slots = record.told.slots or slots
         use = (pressure + 1.0) / max(1, slots)
-        # Up to the slots more work hardly slows; beyond them it queues.
-        factor = 1.0 + 0.5 * use * use + 2.0 * max(0.0, use - 0.9)
+        # While slots are free more work hardly slows; beyond them it queues.
+        factor = 1.0 + 0.3 * use + 1.5 * max(0.0, use - 0.75)
         latency = record.latency or 0.3
         if target.cold_until > now:
             factor *= 3.0
-        if target.zone != self._zone:
-            factor *= _ZONE_SURCHARGE
-        return latency * factor * (1.0 + 0.02 * self._random.random())
-
+        return latency * factor * (1.0 + 0.1 * self._random.random())
--- a/marblefold/request_path/surroundings.py
+++ b/marblefold/request_path/surroundings.py
@@ -28,12 +28,14 @@
         self._bounds = bounds
         self._breakers: dict[str, Breaker] = {}
         self._budgets: dict[str, RetryBudget] = {}
+        self._answer_kilobytes: dict[str, float] = {}
 
     def nominate(
-        self, upstream: str, tried: Collection[str], homes: Collection[str] | None, now: float,
+        self, upstream: str, tried: Collection[str], homes: Collection[str] | None,
+        kilobytes: float, now: float,
     ) -> Nominee | None:
         """The target for the next hop."""
-        return self.nominator.nominate(upstream, tried, homes, now)
+        return self.nominator.nominate(upstream, tried, homes, kilobytes, now)
 
     def ask_breaker(self, upstream: str, now: float) -> Passage:
         """The breaker's word on one more call to the upstream."""
@@ -76,7 +78,7 @@
         if result.pressure is not None:
             nominator.note_pressure(target, result.pressure, now)
         if success:
-            nominator.note_latency(target, (now - ticket.started) / weight)
+            nominator.note_latency(target, result.service_seconds / weight)
         elif result.outcome is HopOutcome.NEVER_OFFERED and result.pressure is None:
             nominator.note_breakdown(target, now)
         elif result.outcome is HopOutcome.UNKNOWN and result.step in ("stream", "deadline"):
@@ -94,6 +96,15 @@
                 log.warning("overdue", upstream=upstream, attempt=ticket.what,
                             seconds=round(now - ticket.started, 1))
 
+    def answer_kilobytes(self, mapping: str) -> float:
+        """How large the answers of the mapping have been of late."""
+        return self._answer_kilobytes.get(mapping, 1.0)
+
+    def note_answer(self, mapping: str, kilobytes: float) -> None:
+        """An answer of the mapping was so large."""
+        known = self._answer_kilobytes.get(mapping, kilobytes)
+        self._answer_kilobytes[mapping] = known + 0.05 * (kilobytes - known)
+
     def breaker(self, upstream: str) -> Breaker:
         """The breaker that watches the upstream."""
         breaker = self._breakers.get(upstream)
