--- a/marblefold/__main__.py
+++ b/marblefold/__main__.py
@@ -2,9 +2,9 @@
 
 import sys
 
-# No program speaks TLS, and ssl costs each of them five megabytes: asyncio and
-# aiohttp both do without it when it cannot be imported.
-sys.modules["ssl"] = None
+from marblefold.lean_imports import leave_out
+
+leave_out()
 
 from marblefold.command_line import main  # noqa: E402
 
--- a/marblefold/http_streams/downstream_stream.py
+++ b/marblefold/http_streams/downstream_stream.py
@@ -11,7 +11,7 @@
 from typing import Awaitable, Callable, Protocol
 
 from aiohttp.base_protocol import BaseProtocol
-from aiohttp.http import HttpRequestParser
+from aiohttp.http_parser import HttpRequestParser
 from aiohttp.http_exceptions import BadStatusLine, HttpProcessingError, LineTooLong
 
 from marblefold.breakdowns import Breakdown
--- a/marblefold/http_streams/target_stream.py
+++ b/marblefold/http_streams/target_stream.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple
 
 from aiohttp.base_protocol import BaseProtocol
-from aiohttp.http import HttpResponseParser
+from aiohttp.http_parser import HttpResponseParser
 from aiohttp.http_exceptions import HttpProcessingError
 
 from marblefold import wire_names
--- a/marblefold/operator_spec/mapping_table.py
+++ b/marblefold/operator_spec/mapping_table.py
@@ -1,6 +1,6 @@
 """Finds the mapping of a request."""
 
-from marblefold.operator_spec.model import Mapping, Spec, Upstream
+from marblefold.operator_spec.rows import Mapping, Rows, Upstream
 
 __all__ = ["MappingTable"]
 
@@ -8,20 +8,16 @@
 class MappingTable:
     """A spec laid out for look-ups; made anew for each spec, never changed."""
 
-    def __init__(self, spec: Spec) -> None:
-        self.spec = spec
+    def __init__(self, rows: Rows) -> None:
+        self.number = rows.number
+        self.limits = rows.limits
+        self.count = len(rows.mappings)
         self.upstreams: dict[str, Upstream] = {
-            upstream.name: upstream for upstream in spec.upstream_list
+            upstream.name: upstream for upstream in rows.upstreams
         }
         self._hosts: dict[str, dict[str, Mapping]] = {}
-        for mapping in spec.mapping_list:
-            prefixes = self._hosts.setdefault(mapping.host_name.lower(), {})
-            prefixes[mapping.path_prefix] = mapping
-
-    @property
-    def number(self) -> int:
-        """The number of the spec laid out here."""
-        return self.spec.spec_number
+        for mapping in rows.mappings:
+            self._hosts.setdefault(mapping.host, {})[mapping.prefix] = mapping
 
     def find(self, host: str, target: str) -> Mapping | None:
         """The mapping with the longest prefix of the path, if there is one."""
--- /dev/null
+++ b/marblefold/operator_spec/rows.py
@@ -0,0 +1,80 @@
+"""A checked spec in rows: how registries pass it on and proxies hold it.
+
+Registries read and check the operator's bytes once; proxies need neither the
+reader nor its libraries.
+"""
+
+from datetime import timedelta
+from typing import NamedTuple
+
+from marblefold.inner_protocol.messages import kinds
+
+__all__ = ["Limits", "Mapping", "Rows", "Upstream", "read_rows"]
+
+
+class Mapping(NamedTuple):
+    """Where requests of one host below one prefix go, and how."""
+
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    time_limit: timedelta
+    target_latency: timedelta
+    attempt_limit: int
+    priority: int
+    upstreams: tuple[str, ...]
+    weights: tuple[float, ...]
+    home_regions: tuple[str, ...]
+
+
+class Upstream(NamedTuple):
+    """A service that requests may be sent to."""
+
+    name: str
+    health_check_path: str
+    stream_limit: int
+    coldstart_per_s: float
+
+
+class Limits(NamedTuple):
+    """What a downstream may send and how long it may take."""
+
+    header_bytes: int
+    body_bytes: int
+    header_time: timedelta
+    idle_time: timedelta
+
+
+class Rows(NamedTuple):
+    """A whole spec under its number."""
+
+    number: int
+    mappings: tuple[Mapping, ...]
+    upstreams: tuple[Upstream, ...]
+    limits: Limits
+
+
+def read_rows(data: bytes) -> Rows:
+    """The rows in the bytes."""
+    message = kinds.SpecRows.FromString(data)
+    return Rows(
+        message.number,
+        tuple(_read_mapping(row) for row in message.mappings),
+        tuple(
+            Upstream(row.name, row.health_check_path, row.stream_limit, row.coldstart_per_s)
+            for row in message.upstreams),
+        Limits(
+            message.header_bytes, message.body_bytes,
+            timedelta(milliseconds=message.header_time_ms),
+            timedelta(milliseconds=message.idle_time_ms)),
+    )
+
+
+def _read_mapping(row) -> Mapping:
+    return Mapping(
+        row.name, row.host, row.prefix, row.kind,
+        timedelta(milliseconds=row.time_limit_ms),
+        timedelta(milliseconds=row.target_latency_ms),
+        row.attempt_limit, row.priority,
+        tuple(row.split_upstreams), tuple(row.split_weights), tuple(row.home_regions))
--- a/marblefold/proxy/program.py
+++ b/marblefold/proxy/program.py
@@ -169,10 +169,10 @@
             self.follower.tell()
 
     def _on_spec(self, table: MappingTable) -> None:
-        limits = table.spec.limits
-        self.outbound.header_bytes = limits.max_header_bytes
-        self.outbound.header_time = limits.header_timeout_ms
-        self.outbound.idle_time = limits.idle_timeout_ms
+        limits = table.limits
+        self.outbound.header_bytes = limits.header_bytes
+        self.outbound.header_time = limits.header_time
+        self.outbound.idle_time = limits.idle_time
 
     def _on_evacuation(self, zone: str, is_on: bool) -> None:
         if is_on or zone != self._config.zone:
--- a/marblefold/registry/program.py
+++ b/marblefold/registry/program.py
@@ -12,6 +12,8 @@
 from marblefold.logs import log
 from marblefold.membership.node import NodeMembership
 from marblefold.node_config.watching import ConfigWatch
+from marblefold.operator_spec.laying_out import lay_out
+from marblefold.operator_spec.reading import read_spec
 from marblefold.registry.catalogue import Catalogue
 from marblefold.registry.control_calls import ControlCalls
 from marblefold.registry.feed import FeedKeeper
@@ -96,7 +98,8 @@
         """A word holds: bring it to all followers."""
         if word.register == "spec":
             self.catalogue.put(kinds.Entry(
-                kind="spec", key="spec", number=word.number, value=word.value))
+                kind="spec", key="spec", number=word.number,
+                value=lay_out(read_spec(word.value))))
         elif word.register.startswith("evacuation/"):
             self.catalogue.put(kinds.Entry(
                 kind="evacuation", key=word.register.partition("/")[2],
--- a/marblefold/request_path/decision.py
+++ b/marblefold/request_path/decision.py
@@ -8,7 +8,7 @@
 from marblefold import wire_names
 from marblefold.circuit_breaker.breaker import Passage
 from marblefold.http_streams.answer import Answer, own_answer
-from marblefold.operator_spec.model import Mapping
+from marblefold.operator_spec.rows import Mapping
 from marblefold.request_path.mesh_view import KnownTarget
 from marblefold.request_path.nomination import Nominee
 from marblefold.request_path.outcome import HopOutcome, HopResult
@@ -66,8 +66,8 @@
         self._attempt_id = attempt_id
         self._facts = facts
         self._arrived = arrived
-        self._aim = max(0.02, mapping.target_latency_ms.total_seconds())
-        self._is_repeatable = mapping.mapping_kind == wire_names.READ_ONLY
+        self._aim = max(0.02, mapping.target_latency.total_seconds())
+        self._is_repeatable = mapping.kind == wire_names.READ_ONLY
         self._is_replayable = is_replayable
         self._kilobytes = kilobytes
         self._offered = 0
--- a/marblefold/request_path/executor.py
+++ b/marblefold/request_path/executor.py
@@ -7,7 +7,7 @@
 from marblefold.http_streams.downstream_request import BodyTooLarge, DownstreamRequest
 from marblefold.inner_protocol.messages import kinds
 from marblefold.logs import log
-from marblefold.operator_spec.model import Mapping
+from marblefold.operator_spec.rows import Mapping
 from marblefold.request_path.decision import Conclude, Offer, RequestDecision
 from marblefold.request_path.hop_sender import HopSender
 from marblefold.request_path.outcome import HopOutcome, HopResult
@@ -34,7 +34,7 @@
         refusal, mapping = self._find_mapping(request)
         if refusal is not None:
             return refusal
-        body_limit = self._surroundings.view.table.spec.limits.max_body_bytes
+        body_limit = self._surroundings.view.table.limits.body_bytes
         deadline = self._find_deadline(request, mapping)
         try:
             body, is_whole = await request.gather(_HELD_BODY, body_limit)
@@ -107,14 +107,12 @@
     def _find_deadline(self, request: DownstreamRequest, mapping: Mapping) -> float:
         told = request.deadline_ms
         seconds = told / 1000.0 if told is not None else _NO_DEADLINE_SECONDS
-        return request.arrived + min(seconds, mapping.time_limit_ms.total_seconds())
+        return request.arrived + min(seconds, mapping.time_limit.total_seconds())
 
     def _pick_upstream(self, mapping: Mapping) -> str:
-        splits = mapping.splits
-        if len(splits) == 1:
-            return splits[0].upstream
-        weights = [split.weight for split in splits]
-        return self._random.choices([split.upstream for split in splits], weights)[0]
+        if len(mapping.upstreams) == 1:
+            return mapping.upstreams[0]
+        return self._random.choices(mapping.upstreams, mapping.weights)[0]
 
     def _make_head(
         self, request: DownstreamRequest, mapping: Mapping, upstream: str, body: bytes,
@@ -132,7 +130,7 @@
             header_block=request.header_block(),
             upstream=upstream,
             caller_service=self.caller,
-            mapping_kind=mapping.mapping_kind,
+            mapping_kind=mapping.kind,
             spec_number=self._surroundings.view.table.number,
             priority=max(0, mapping.priority),
             body=body,
--- a/marblefold/request_path/mesh_view.py
+++ b/marblefold/request_path/mesh_view.py
@@ -10,7 +10,7 @@
 from marblefold.inner_protocol.messages import kinds
 from marblefold.logs import log
 from marblefold.operator_spec.mapping_table import MappingTable
-from marblefold.operator_spec.reading import InvalidSpec, read_spec
+from marblefold.operator_spec.rows import read_rows
 
 __all__ = ["KnownTarget", "MeshView"]
 
@@ -58,9 +58,9 @@
         version = (entry.life, entry.number)
         if version <= self._versions.get(key, (-1, -1)):
             return False
-        if entry.kind == "spec" and not self._take_spec(entry):
-            return False
         self._versions[key] = version
+        if entry.kind == "spec":
+            self._take_spec(entry)
         if entry.kind == "target":
             self._take_target(entry)
         elif entry.kind == "evacuation":
@@ -69,17 +69,12 @@
             self.registries = set(entry.value.decode().split("\n"))
         return True
 
-    def _take_spec(self, entry) -> bool:
-        try:
-            self.table = MappingTable(read_spec(entry.value))
-        except InvalidSpec as fault:
-            # Registries check before they store; this is a fault of ours.
-            log.error("spec cannot be read", number=entry.number, faults=fault.faults[:5])
-            return False
-        log.info("spec in force", number=entry.number, mappings=len(self.table.spec.mapping_list))
+    def _take_spec(self, entry) -> None:
+        # Laid out whole first: a request sees the old spec or the new one.
+        self.table = MappingTable(read_rows(entry.value))
+        log.info("spec in force", number=entry.number, mappings=self.table.count)
         if self.on_spec is not None:
             self.on_spec(self.table)
-        return True
 
     def _take_target(self, entry) -> None:
         node = entry.key
--- a/marblefold/spec_store/acceptor.py
+++ b/marblefold/spec_store/acceptor.py
@@ -5,7 +5,7 @@
 
 import enum
 import json
-import uuid
+import os
 from typing import Protocol
 
 from marblefold.inner_protocol.messages import kinds
@@ -74,7 +74,7 @@
 
     def begin_reading(self) -> None:
         """Starts a life that knows nothing: no vote before it has read."""
-        self.life = uuid.uuid4().hex
+        self.life = os.urandom(16).hex()
         self._change_standing(Standing.READING)
 
     def prepare(self, call: kinds.StoreCall) -> kinds.StoreAnswer:
@@ -189,7 +189,7 @@
 
     def _begin_first(self, seeds: list[str]) -> None:
         view = first_view(seeds)
-        self.life = uuid.uuid4().hex
+        self.life = os.urandom(16).hex()
         self.view = view
         # A store that no seed names waits to be swapped in.
         if self.is_member:
--- a/marblefold/spec_store/program.py
+++ b/marblefold/spec_store/program.py
@@ -1,8 +1,8 @@
 """The store: keeps the operator's words on disk with the other stores."""
 
 import asyncio
+import os
 import signal
-import uuid
 
 from marblefold.breakdowns import Breakdown
 from marblefold.inner_protocol.frames import FrameKind
@@ -41,7 +41,7 @@
             self._address, RegisterFiles(config.data_directory), seeds, config.is_first_start)
         self._mates = StoreMates(self._acceptor, MateBook(self))
         self._proposer = Proposer(
-            self._mates, f"{self._address}/{self._acceptor.life}/{uuid.uuid4().hex[:8]}")
+            self._mates, f"{self._address}/{self._acceptor.life}/{os.urandom(4).hex()}")
         self._words = ChosenWords()
         self._upkeep = Upkeep(self._acceptor, self._mates, self._proposer, self._words, seeds)
         self._stop = asyncio.Event()
--- a/marblefold/spec_store/register_files.py
+++ b/marblefold/spec_store/register_files.py
@@ -7,9 +7,9 @@
 
 import contextlib
 import dbm.dumb
-import hashlib
 import os
 import re
+import zlib
 
 __all__ = ["RegisterFiles"]
 
@@ -51,7 +51,7 @@
         base = self._base(key, number)
         with contextlib.closing(dbm.dumb.open(base, "n")) as pair:
             pair[b"data"] = data
-            pair[b"sum"] = hashlib.sha256(data).digest()
+            pair[b"sum"] = b"%d" % zlib.crc32(data)
         for ending in (".dat", ".dir"):
             _sync(base + ending)
         _sync(self._folder)
@@ -65,7 +65,7 @@
         try:
             with contextlib.closing(dbm.dumb.open(base, "r")) as pair:
                 data = pair[b"data"]
-                return data if pair[b"sum"] == hashlib.sha256(data).digest() else None
+                return data if pair[b"sum"] == b"%d" % zlib.crc32(data) else None
         except Exception:
             return None
 
--- a/marblefold/spec_store/upkeep.py
+++ b/marblefold/spec_store/upkeep.py
@@ -1,10 +1,10 @@
 """What a store does of its own accord: reads, mends, and swaps a lost member."""
 
 import asyncio
-import hashlib
+import os
 import random
 import time
-import uuid
+import zlib
 
 from marblefold.breakdowns import Breakdown
 from marblefold.inner_protocol.messages import kinds
@@ -141,7 +141,7 @@
             return
         if not await self._is_gone_for_others(gone, live):
             return
-        following = view.swap(gone, waiting[0], uuid.uuid4().hex)
+        following = view.swap(gone, waiting[0], os.urandom(16).hex())
         holding = await self._proposer.change(
             VIEW_REGISTER, change_view(view, following), _SETTLE_SECONDS)
         self.take_chosen(VIEW_REGISTER, holding)
@@ -172,5 +172,5 @@
         return answers
 
 
-def _rank(key: str, mate: str) -> bytes:
-    return hashlib.sha256(f"{key}|{mate}".encode()).digest()
+def _rank(key: str, mate: str) -> tuple[int, str]:
+    return zlib.crc32(f"{key}|{mate}".encode()), mate
--- /dev/null
+++ b/tests/test_lean_imports.py
@@ -0,0 +1,27 @@
+"""The programs start without what lean_imports leaves out."""
+
+import subprocess
+import sys
+
+
+def test_every_program_imports_without_the_parts_left_out():
+    code = (
+        "from marblefold.lean_imports import leave_out; leave_out()\n"
+        "import sys\n"
+        "import marblefold.proxy.program, marblefold.registry.program\n"
+        "import marblefold.spec_store.program\n"
+        "from aiohttp._http_parser import HttpRequestParser\n"
+        "assert 'aiohttp.client' not in sys.modules\n"
+    )
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True)
+    assert done.returncode == 0, done.stderr
+
+
+def test_a_proxy_does_not_import_the_reader_of_specs():
+    code = (
+        "from marblefold.lean_imports import leave_out; leave_out()\n"
+        "import sys, marblefold.proxy.program\n"
+        "print([name for name in ('cattrs', 'urllib.error') if name in sys.modules])\n"
+    )
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True)
+    assert done.stdout.strip() == "[]", done.stdout + done.stderr
