--- /dev/null
+++ b/tests/test_decision.py
@@ -0,0 +1,117 @@
+"""What a request's decision promises, and when it tries again."""
+
+from datetime import timedelta
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from marblefold.circuit_breaker.breaker import Passage
+from marblefold.http_streams.answer import Answer
+from marblefold.operator_spec.rows import Mapping
+from marblefold.request_path.decision import Conclude, Offer, RequestDecision
+from marblefold.request_path.mesh_view import KnownTarget
+from marblefold.request_path.nomination import Nominee
+from marblefold.request_path.outcome import HopOutcome, HopResult
+
+PROMISES = (408, 421, 429, 503)
+
+
+def make_target(number):
+    return KnownTarget(
+        f"node-{number}", f"10.0.0.{number}:7600", "hall", "here", f"i-{number}", "quotes",
+        4, False, 0.0, False)
+
+
+class Facts:
+    """Surroundings with as many targets as are asked for."""
+
+    def __init__(self, budget=True, passage=Passage(True, 0.0), targets=50):
+        self.budget, self.passage, self.targets, self.nominated = budget, passage, targets, 0
+
+    def nominate(self, upstream, tried, homes, kilobytes, now):
+        if self.nominated >= self.targets:
+            return None
+        self.nominated += 1
+        return Nominee(make_target(self.nominated), False)
+
+    def ask_breaker(self, upstream, now):
+        return self.passage
+
+    def may_repeat(self, upstream, now):
+        return self.budget
+
+
+def make_decision(kind, facts, attempt_limit=3, is_replayable=True):
+    mapping = Mapping(
+        "r", "h", "/", kind, timedelta(seconds=2), timedelta(milliseconds=400),
+        attempt_limit, 0, ("quotes",), (1.0,), ())
+    return RequestDecision(mapping, "quotes", "id", 0.0, 2.0, is_replayable, 1.0, facts)
+
+
+def result(outcome, status=200):
+    answer = Answer(status) if outcome is HopOutcome.ANSWERED else None
+    return HopResult(outcome, answer, 0.1, "step")
+
+
+@given(
+    kind=st.sampled_from(["read_only", "mutating", "upload"]),
+    ends=st.lists(st.tuples(
+        st.sampled_from(list(HopOutcome)), st.sampled_from([200, 404, 500]),
+        st.floats(0.0, 0.3)), max_size=12),
+    budget=st.booleans(), replayable=st.booleans(),
+)
+def test_promises_and_repeats_are_kept(kind, ends, budget, replayable):
+    """The plain rules, said again over the whole history of a request."""
+    decision = make_decision(kind, Facts(budget), is_replayable=replayable)
+    now, history = 0.0, []
+    for outcome, status, seconds in ends + [(HopOutcome.UNKNOWN, 200, 3.0)]:
+        step = decision.next_step(now)
+        if isinstance(step, Conclude):
+            break
+        now += seconds
+        history.append((outcome, status))
+        decision.note(step.target, result(outcome, status))
+    else:
+        step = decision.next_step(now)
+    offers = [end for end in history if end[0] is not HopOutcome.NEVER_OFFERED]
+    ran = [end for end in offers if end[0] is not HopOutcome.NOT_EXECUTED]
+    assert len(offers) <= 3
+    assert len(offers) <= 1 or budget
+    if kind != "read_only":
+        # Once it may have run, it goes nowhere else.
+        assert len(ran) <= 1
+        assert not ran or history[-1] == ran[0]
+    if isinstance(step, Conclude):
+        status = step.answer.status
+        if any(end[0] is HopOutcome.ANSWERED for end in history):
+            return
+        assert (status in PROMISES) == (not ran)
+        if status in PROMISES:
+            assert b"Retry-After" in step.answer.header_block
+
+
+def test_a_breaker_that_refuses_is_a_promise_with_a_time():
+    decision = make_decision("mutating", Facts(passage=Passage(False, 0.7)))
+    step = decision.next_step(0.0)
+    assert step.answer.status == 503 and b"Retry-After: 0.700" in step.answer.header_block
+
+
+def test_without_targets_the_final_answer_comes_at_once():
+    step = make_decision("read_only", Facts(targets=0)).next_step(0.0)
+    assert isinstance(step, Conclude) and step.answer.status == 503
+
+
+def test_a_refusal_late_in_the_aim_ends_the_search():
+    decision = make_decision("read_only", Facts())
+    offer = decision.next_step(0.0)
+    assert isinstance(offer, Offer) and offer.queue_seconds == 0.1
+    decision.note(offer.target, result(HopOutcome.NEVER_OFFERED))
+    assert isinstance(decision.next_step(0.05), Offer)
+    decision.note(offer.target, result(HopOutcome.NEVER_OFFERED))
+    assert decision.next_step(0.11).answer.status == 503
+
+
+def test_a_failed_answer_of_a_target_is_passed_on_when_no_more_may_be_tried():
+    decision = make_decision("read_only", Facts(budget=False))
+    decision.note(decision.next_step(0.0).target, result(HopOutcome.ANSWERED, 500))
+    assert decision.next_step(0.1).answer.status == 500
--- /dev/null
+++ b/tests/test_streams.py
@@ -0,0 +1,202 @@
+"""Streams of downstreams and targets, over a transport made of lists."""
+
+import asyncio
+
+import pytest
+
+from marblefold.breakdowns import Breakdown
+from marblefold.http_streams.answer import Answer
+from marblefold.http_streams.downstream_stream import DownstreamStream
+from marblefold.http_streams.target_stream import StreamState, TargetStream
+
+
+class FakeTransport:
+    """Remembers what was written and whether it was ended."""
+
+    def __init__(self):
+        self.written = b""
+        self.closed = self.aborted = False
+
+    def write(self, data):
+        self.written += data
+
+    def close(self):
+        self.closed = True
+
+    def abort(self):
+        self.aborted = True
+
+    def get_extra_info(self, name):
+        return None
+
+    def pause_reading(self):
+        pass
+
+    resume_reading = pause_reading
+
+
+class Keeper:
+    """A server that answers each request when the test says so."""
+
+    is_leaving = False
+    header_bytes = 1000
+
+    def __init__(self):
+        self.requests, self.answers = [], {}
+
+    def on_made(self, stream):
+        pass
+
+    on_lost = on_made
+
+    async def handle(self, request):
+        self.requests.append(request)
+        future = asyncio.get_running_loop().create_future()
+        self.answers[request.path] = future
+        return await future
+
+
+def run(test):
+    asyncio.run(test())
+
+
+async def turns():
+    for _ in range(5):
+        await asyncio.sleep(0)
+
+
+def make_downstream():
+    keeper, transport = Keeper(), FakeTransport()
+    stream = DownstreamStream(keeper)
+    stream.connection_made(transport)
+    return keeper, transport, stream
+
+
+def make_target():
+    transport = FakeTransport()
+    stream = TargetStream()
+    stream.connection_made(transport)
+    return stream, transport
+
+
+def test_pipelined_reads_run_together_and_are_answered_in_order():
+    async def test():
+        keeper, transport, stream = make_downstream()
+        stream.data_received(
+            b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n")
+        await turns()
+        assert [request.path for request in keeper.requests] == ["/1", "/2"]
+        keeper.answers["/2"].set_result(Answer(200, body=b"two"))
+        await turns()
+        assert transport.written == b""
+        keeper.answers["/1"].set_result(Answer(200, body=b"one"))
+        await turns()
+        assert transport.written.index(b"one") < transport.written.index(b"two")
+    run(test)
+
+
+def test_what_may_not_be_repeated_waits_for_its_turn():
+    async def test():
+        keeper, transport, stream = make_downstream()
+        post = b"POST /%d HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx"
+        stream.data_received(post % 1 + post % 2)
+        await turns()
+        assert [request.path for request in keeper.requests] == ["/1"]
+        assert await keeper.requests[0].gather(10, 10) == (b"x", True)
+        keeper.answers["/1"].set_result(Answer(200))
+        await turns()
+        assert [request.path for request in keeper.requests] == ["/1", "/2"]
+    run(test)
+
+
+@pytest.mark.parametrize("head, status", [
+    (b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", b"400"),
+    (b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n",
+     b"400"),
+    (b"GET / HTTP/1.1\r\nHost: h\r\n bad\r\n\r\n", b"400"),
+    (b"no request at all\r\n\r\n", b"400"),
+    (b"GET / HTTP/1.1\r\nHost: h\r\nX: " + b"a" * 1100 + b"\r\n\r\n", b"431"),
+    (b"GET / HTTP/1.1\r\nHost: h\r\n" + b"A: " + b"b" * 300 + b"\r\nC: " + b"d" * 900 + b"\r\n\r\n",
+     b"431"),
+])
+def test_heads_that_could_smuggle_are_refused_and_end_the_stream(head, status):
+    async def test():
+        keeper, transport, stream = make_downstream()
+        stream.data_received(head)
+        await turns()
+        assert transport.written.startswith(b"HTTP/1.1 " + status)
+        assert transport.closed and not keeper.requests
+    run(test)
+
+
+def test_a_downstream_that_leaves_ends_the_work_for_it():
+    async def test():
+        keeper, _transport, stream = make_downstream()
+        stream.data_received(b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n")
+        await turns()
+        stream.connection_lost(None)
+        await turns()
+        assert keeper.answers["/1"].cancelled()
+    run(test)
+
+
+ANSWER = b"HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nContent-Length: 2\r\n\r\n%s"
+
+
+def test_a_late_surplus_answer_is_told_apart_by_its_id():
+    async def test():
+        stream, _transport = make_target()
+        await stream.begin(b"GET", b"mine")
+        stream.data_received(ANSWER % (b"other", b"no") + ANSWER % (b"mine", b"ok"))
+        answer = await stream.answer()
+        assert await answer.payload.read() == b"ok"
+        # Its bytes cannot be trusted any further.
+        assert not stream.finish() and stream.state is StreamState.CLOSED
+    run(test)
+
+
+def test_surplus_bytes_on_an_idle_stream_end_it():
+    async def test():
+        stream, transport = make_target()
+        stream.data_received(ANSWER % (b"x", b"no"))
+        assert stream.state is StreamState.CLOSED and transport.aborted
+    run(test)
+
+
+@pytest.mark.parametrize("data", [
+    b"\x00\x01garbage\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+    b"HTTP/1.1 200 OK\r\nAttempt-Id: mine\r\n\r\nno end to see",
+])
+def test_what_cannot_be_the_answer_breaks_off(data):
+    async def test():
+        stream, _transport = make_target()
+        await stream.begin(b"GET", b"mine")
+        stream.data_received(data)
+        with pytest.raises(Breakdown):
+            await stream.answer()
+    run(test)
+
+
+def test_an_answer_cut_off_never_looks_whole():
+    async def test():
+        stream, _transport = make_target()
+        await stream.begin(b"GET", b"mine")
+        stream.data_received(b"HTTP/1.1 200 OK\r\nAttempt-Id: mine\r\nContent-Length: 9\r\n\r\nhalf")
+        answer = await stream.answer()
+        stream.connection_lost(None)
+        with pytest.raises(ConnectionError):
+            await answer.payload.read()
+    run(test)
+
+
+def test_a_refusal_may_come_without_an_id_and_keep_alive_bounds_the_reuse():
+    async def test():
+        stream, _transport = make_target()
+        await stream.begin(b"GET", b"mine")
+        stream.data_received(
+            b"HTTP/1.1 503 no\r\nNot-Executed: 1\r\nKeep-Alive: timeout=0\r\n"
+            b"Content-Length: 0\r\n\r\n")
+        assert (await stream.answer()).is_not_executed
+        assert not stream.finish()
+    run(test)
