Let repeatable hops go from mates and targets that fell silent

A mate that holds hops and is quiet for 150 ms is pinged; without a pong in 300 ms repeatable hops go elsewhere and it is passed over. The guard does the same toward its target with one connect.

--- a/marblefold/http_streams/downstream_request.py
+++ b/marblefold/http_streams/downstream_request.py
@@ -1,6 +1,5 @@
 """A request as a downstream sent it."""
 
-import asyncio
 from typing import Callable
 
 from aiohttp.http_exceptions import HttpProcessingError
--- a/marblefold/http_streams/downstream_stream.py
+++ b/marblefold/http_streams/downstream_stream.py
@@ -8,7 +8,7 @@
 import asyncio
 import time
 from collections import deque
-from typing import Awaitable, Callable, Protocol
+from typing import Awaitable, Protocol
 
 from aiohttp.base_protocol import BaseProtocol
 from aiohttp.http_parser import HttpRequestParser
--- a/marblefold/http_streams/target_stream.py
+++ b/marblefold/http_streams/target_stream.py
@@ -7,7 +7,7 @@
 import asyncio
 import enum
 import time
-from typing import NamedTuple
+from typing import Callable, NamedTuple
 
 from aiohttp.base_protocol import BaseProtocol
 from aiohttp.http_parser import HttpResponseParser
@@ -48,9 +48,10 @@
 class TargetStream(BaseProtocol):
     """Owns one connection to a target."""
 
-    def __init__(self) -> None:
+    def __init__(self, on_heard: Callable[[], None] = lambda: None) -> None:
         loop = asyncio.get_running_loop()
         super().__init__(loop)
+        self._on_heard = on_heard
         self._parser = HttpResponseParser(
             self, loop, _PARSER_BUFFER, payload_exception=ConnectionError,
             auto_decompress=False, max_line_size=32768, max_field_size=32768,
@@ -108,6 +109,7 @@
             self.transport.abort()
 
     def data_received(self, data: bytes) -> None:
+        self._on_heard()
         try:
             messages, _upgraded, _tail = self._parser.feed_data(data)
         except (HttpProcessingError, ValueError) as error:
--- a/marblefold/http_streams/target_streams.py
+++ b/marblefold/http_streams/target_streams.py
@@ -13,8 +13,10 @@
 class TargetStreams:
     """Hands out kept streams, newest first, and opens new ones when it must."""
 
-    def __init__(self, address: Address, connect_seconds: float = 0.5) -> None:
+    def __init__(self, address: Address, connect_seconds: float = 0.25) -> None:
         self.opened = 0
+        # When the target last gave any sign of life.
+        self.heard_at = time.monotonic()
         self._address = address
         self._connect_seconds = connect_seconds
         self._kept: list[TargetStream] = []
@@ -27,18 +29,35 @@
             if stream.state is StreamState.IDLE and now < stream.usable_until:
                 return stream
             stream.close()
+        return await self._open()
+
+    async def is_reachable(self) -> bool:
+        """Whether the target still takes a new stream; it is kept for use."""
+        try:
+            stream = await self._open()
+        except Breakdown:
+            return False
+        self._kept.append(stream)
+        return True
+
+    async def _open(self) -> TargetStream:
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(self._connect_seconds):
                 _transport, stream = await loop.create_connection(
-                    TargetStream, self._address.host, self._address.port)
+                    lambda: TargetStream(self._note_heard),
+                    self._address.host, self._address.port)
         except (OSError, TimeoutError) as error:
             raise Breakdown(
                 "connect to target", str(error) or "no answer", str(self._address)
             ) from error
         self.opened += 1
+        self._note_heard()
         return stream
 
+    def _note_heard(self) -> None:
+        self.heard_at = time.monotonic()
+
     def give_back(self, stream: TargetStream) -> None:
         """Keeps the stream if its answer was read whole and it may be kept."""
         if stream.finish():
--- /dev/null
+++ b/marblefold/inner_protocol/exchange.py
@@ -0,0 +1,95 @@
+"""One hop on a stream between mates, as either end holds it."""
+
+import asyncio
+import struct
+from typing import TYPE_CHECKING, Callable
+
+from marblefold.breakdowns import Breakdown
+from marblefold.inner_protocol.body_pipe import FIRST_CREDIT, BodyPipe
+from marblefold.inner_protocol.frames import FrameKind
+
+if TYPE_CHECKING:
+    from marblefold.inner_protocol.mate_stream import MateStream
+
+__all__ = ["Exchange", "take_frame"]
+
+_CREDIT = struct.Struct("!I")
+_CHUNK = 64 * 1024
+
+
+class Exchange:
+    """One hop on a stream, at either end."""
+
+    def __init__(self, stream: "MateStream", number: int) -> None:
+        self.stream = stream
+        self.number = number
+        self.answer: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
+        self.incoming = BodyPipe(self._grant)
+        self.on_cancel: Callable[[], None] | None = None
+        self._credit = FIRST_CREDIT
+        self._credit_waiter: asyncio.Future | None = None
+        self.broken: Breakdown | None = None
+        # Whether the request may go elsewhere while this mate is silent.
+        self.is_repeatable = False
+
+    def break_off(self, breakdown: Breakdown) -> None:
+        """The stream below this exchange is gone, or its mate reset it."""
+        self.broken = breakdown
+        if not self.answer.done():
+            self.answer.set_exception(breakdown)
+            # Nobody may be waiting any more; the loop need not complain.
+            self.answer.exception()
+        self.incoming.break_off(breakdown)
+        self._wake_sender()
+        if self.on_cancel is not None:
+            self.on_cancel()
+
+    def take_credit(self, size: int) -> None:
+        """The mate lets us send more of the body."""
+        self._credit += size
+        self._wake_sender()
+
+    async def send_body(self, chunk: bytes) -> None:
+        """Sends a part of the body, within the mate's credit."""
+        for place in range(0, len(chunk), _CHUNK):
+            part = chunk[place:place + _CHUNK]
+            while self._credit <= 0 and self.broken is None:
+                self._credit_waiter = asyncio.get_running_loop().create_future()
+                await self._credit_waiter
+            if self.broken is not None:
+                raise self.broken
+            self._credit -= len(part)
+            self.stream.send(FrameKind.BODY, self.number, part)
+            await self.stream.drain()
+
+    def send(self, kind: FrameKind, payload: bytes = b"") -> None:
+        """Sends a frame of this exchange."""
+        self.stream.send(kind, self.number, payload)
+
+    def close(self) -> None:
+        """The exchange is over at this end."""
+        self.stream.forget(self.number)
+
+    def _grant(self, size: int) -> None:
+        self.stream.send(FrameKind.CREDIT, self.number, _CREDIT.pack(size))
+
+    def _wake_sender(self) -> None:
+        if self._credit_waiter is not None and not self._credit_waiter.done():
+            self._credit_waiter.set_result(None)
+
+
+def take_frame(exchange: Exchange, kind: int, payload: bytes) -> None:
+    """Gives the exchange a frame that came for it."""
+    if kind == FrameKind.ANSWER:
+        if not exchange.answer.done():
+            exchange.answer.set_result(payload)
+    elif kind == FrameKind.BODY:
+        exchange.incoming.feed(payload)
+    elif kind == FrameKind.BODY_END:
+        exchange.incoming.finish()
+    elif kind == FrameKind.CREDIT:
+        exchange.take_credit(_CREDIT.unpack(payload)[0])
+    elif kind == FrameKind.RESET:
+        exchange.break_off(Breakdown("answer", "reset by mate", exchange.stream.mate))
+    elif kind == FrameKind.CANCEL and exchange.on_cancel is not None:
+        exchange.on_cancel()
--- a/marblefold/inner_protocol/frames.py
+++ b/marblefold/inner_protocol/frames.py
@@ -27,6 +27,8 @@
     CALL = 8        # a message that wants a reply
     REPLY = 9       # the reply
     TELL = 10       # a message that wants none
+    PING = 11       # are you there?
+    PONG = 12       # I am
 
 
 class Frame(NamedTuple):
--- a/marblefold/inner_protocol/mate_book.py
+++ b/marblefold/inner_protocol/mate_book.py
@@ -43,6 +43,10 @@
             task.add_done_callback(lambda done: self._note_connected(mate, done))
         return await asyncio.shield(task)
 
+    def streams(self) -> list[MateStream]:
+        """The streams that are open now."""
+        return [stream for stream in self._streams.values() if stream.is_open]
+
     def drop(self, mate: str) -> None:
         """Ends the stream to a mate that is gone."""
         stream = self._streams.pop(mate, None)
--- a/marblefold/inner_protocol/mate_stream.py
+++ b/marblefold/inner_protocol/mate_stream.py
@@ -2,19 +2,17 @@
 
 import asyncio
 import socket
-import struct
-from typing import Callable, Protocol
+import time
+from typing import Protocol
 
 from marblefold.breakdowns import Breakdown
-from marblefold.inner_protocol.body_pipe import FIRST_CREDIT, BodyPipe
+from marblefold.inner_protocol.exchange import Exchange, take_frame
 from marblefold.inner_protocol.frames import Frame, FrameKind, FrameReader, pack_frame
 
-__all__ = ["Exchange", "MateStream", "StreamOwner"]
+__all__ = ["MateStream", "StreamOwner"]
 
-_CREDIT = struct.Struct("!I")
 # A cut says nothing: bytes not acknowledged for so long end the stream.
 _UNHEARD_MILLISECONDS = 2000
-_CHUNK = 64 * 1024
 
 
 class StreamOwner(Protocol):
@@ -29,71 +27,14 @@
     def on_lost(self, stream: "MateStream") -> None: ...
 
 
-class Exchange:
-    """One hop on a stream, at either end."""
-
-    def __init__(self, stream: "MateStream", number: int) -> None:
-        self.stream = stream
-        self.number = number
-        self.answer: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
-        self.incoming = BodyPipe(self._grant)
-        self.on_cancel: Callable[[], None] | None = None
-        self._credit = FIRST_CREDIT
-        self._credit_waiter: asyncio.Future | None = None
-        self.broken: Breakdown | None = None
-
-    def break_off(self, breakdown: Breakdown) -> None:
-        """The stream below this exchange is gone, or its mate reset it."""
-        self.broken = breakdown
-        if not self.answer.done():
-            self.answer.set_exception(breakdown)
-            # Nobody may be waiting any more; the loop need not complain.
-            self.answer.exception()
-        self.incoming.break_off(breakdown)
-        self._wake_sender()
-        if self.on_cancel is not None:
-            self.on_cancel()
-
-    def take_credit(self, size: int) -> None:
-        """The mate lets us send more of the body."""
-        self._credit += size
-        self._wake_sender()
-
-    async def send_body(self, chunk: bytes) -> None:
-        """Sends a part of the body, within the mate's credit."""
-        for place in range(0, len(chunk), _CHUNK):
-            part = chunk[place:place + _CHUNK]
-            while self._credit <= 0 and self.broken is None:
-                self._credit_waiter = asyncio.get_running_loop().create_future()
-                await self._credit_waiter
-            if self.broken is not None:
-                raise self.broken
-            self._credit -= len(part)
-            self.stream.send(FrameKind.BODY, self.number, part)
-            await self.stream.drain()
-
-    def send(self, kind: FrameKind, payload: bytes = b"") -> None:
-        """Sends a frame of this exchange."""
-        self.stream.send(kind, self.number, payload)
-
-    def close(self) -> None:
-        """The exchange is over at this end."""
-        self.stream.forget(self.number)
-
-    def _grant(self, size: int) -> None:
-        self.stream.send(FrameKind.CREDIT, self.number, _CREDIT.pack(size))
-
-    def _wake_sender(self) -> None:
-        if self._credit_waiter is not None and not self._credit_waiter.done():
-            self._credit_waiter.set_result(None)
-
-
 class MateStream(asyncio.Protocol):
     """Carries many exchanges at once; knows nothing of what they are about."""
 
     def __init__(self, owner: StreamOwner, mate: str = "") -> None:
         self.mate = mate
         self.is_open = False
+        self.heard_at = time.monotonic()
+        self._pinged_at: float | None = None
         self._owner = owner
         self._transport: asyncio.Transport | None = None
         self._reader = FrameReader()
@@ -113,6 +54,7 @@
         handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
 
     def data_received(self, data: bytes) -> None:
+        self.heard_at = time.monotonic()
         try:
             for frame in self._reader.feed(data):
                 self._take(frame)
@@ -178,6 +120,27 @@
         finally:
             self._calls.pop(number, None)
 
+    def is_silent(self, now: float, quiet: float, patience: float) -> bool:
+        """Whether the mate is asked for a sign of life and gives none.
+
+        A mate that holds exchanges of ours and says nothing is pinged; one
+        that is quiet because nothing is asked of it is left alone.
+        """
+        if self._pinged_at is not None and self.heard_at > self._pinged_at:
+            self._pinged_at = None
+        if self._pinged_at is not None:
+            return now - self._pinged_at > patience
+        if self._exchanges and now - self.heard_at > quiet:
+            self._pinged_at = now
+            self.send(FrameKind.PING, 0)
+        return False
+
+    def break_off_repeatable(self, breakdown: Breakdown) -> None:
+        """Lets go of the exchanges whose requests may go elsewhere."""
+        for exchange in list(self._exchanges.values()):
+            if exchange.is_repeatable:
+                exchange.break_off(breakdown)
+
     def close(self) -> None:
         """Ends the stream at once."""
         if self._transport is not None:
@@ -189,6 +152,10 @@
             exchange = Exchange(self, number)
             self._exchanges[number] = exchange
             self._owner.on_hop(exchange, payload)
+        elif kind == FrameKind.PING:
+            self.send(FrameKind.PONG, 0)
+        elif kind == FrameKind.PONG:
+            return
         elif kind == FrameKind.CALL:
             self._owner.on_call(self, number, payload)
         elif kind == FrameKind.TELL:
@@ -201,20 +168,4 @@
             exchange = self._exchanges.get(number)
             # A frame behind the end of its exchange is late, not wrong.
             if exchange is not None:
-                _take_into(exchange, kind, payload)
-
-
-def _take_into(exchange: Exchange, kind: int, payload: bytes) -> None:
-    if kind == FrameKind.ANSWER:
-        if not exchange.answer.done():
-            exchange.answer.set_result(payload)
-    elif kind == FrameKind.BODY:
-        exchange.incoming.feed(payload)
-    elif kind == FrameKind.BODY_END:
-        exchange.incoming.finish()
-    elif kind == FrameKind.CREDIT:
-        exchange.take_credit(_CREDIT.unpack(payload)[0])
-    elif kind == FrameKind.RESET:
-        exchange.break_off(Breakdown("answer", "reset by mate", exchange.stream.mate))
-    elif kind == FrameKind.CANCEL and exchange.on_cancel is not None:
-        exchange.on_cancel()
+                take_frame(exchange, kind, payload)
--- a/marblefold/proxy/program.py
+++ b/marblefold/proxy/program.py
@@ -10,7 +10,8 @@
 from marblefold.http_streams.call_router import Call, CallRouter, json_answer
 from marblefold.http_streams.downstream_server import DownstreamServer
 from marblefold.inner_protocol.mate_book import MateBook
-from marblefold.inner_protocol.mate_stream import Exchange, MateStream
+from marblefold.inner_protocol.exchange import Exchange
+from marblefold.inner_protocol.mate_stream import MateStream
 from marblefold.inner_protocol.messages import kinds
 from marblefold.inner_protocol.ports import PROXY, REGISTRY, inner_address
 from marblefold.logs import log
@@ -57,8 +58,9 @@
         nominator = Nominator(self.view, config.zone, config.region)
         self.surroundings = Surroundings(self.view, nominator, config.bounds)
         self._mates = MateBook(self)
-        self.executor = RequestExecutor(
-            self.surroundings, HopSender(self._mates), config.upstream)
+        self._hops = HopSender(
+            self._mates, lambda mate: nominator.note_silent(mate, time.monotonic()))
+        self.executor = RequestExecutor(self.surroundings, self._hops, config.upstream)
         self.outbound = DownstreamServer(self.executor.serve)
         calls, ready = CallRouter(), CallRouter()
         BeatCalls(self.target, config.zone).add_to(calls)
@@ -92,7 +94,7 @@
         for run in (
             self._watch.run(), self.follower.run(), self._membership.run(), self.outbound.run(),
             self._control.run(), self._readiness_server.run(),
-            self._find_target(), self._look_for_overdue(),
+            self._hops.run(), self.guard.run(), self._find_target(), self._look_for_overdue(),
         ):
             self._start(run)
         await self._stop.wait()
--- a/marblefold/proxy/registry_follower.py
+++ b/marblefold/proxy/registry_follower.py
@@ -7,7 +7,8 @@
 from marblefold.breakdowns import Breakdown
 from marblefold.inner_protocol.frames import FrameKind
 from marblefold.inner_protocol.mate_book import MateBook
-from marblefold.inner_protocol.mate_stream import Exchange, MateStream
+from marblefold.inner_protocol.exchange import Exchange
+from marblefold.inner_protocol.mate_stream import MateStream
 from marblefold.inner_protocol.messages import kinds, pack_message, unpack_message
 from marblefold.logs import log
 from marblefold.request_path.mesh_view import MeshView
--- a/marblefold/registry/program.py
+++ b/marblefold/registry/program.py
@@ -6,7 +6,8 @@
 
 from marblefold.http_streams.call_router import CallRouter
 from marblefold.http_streams.downstream_server import DownstreamServer
-from marblefold.inner_protocol.mate_stream import Exchange, MateStream
+from marblefold.inner_protocol.exchange import Exchange
+from marblefold.inner_protocol.mate_stream import MateStream
 from marblefold.inner_protocol.messages import kinds, unpack_message
 from marblefold.inner_protocol.ports import REGISTRY, STORE, inner_address
 from marblefold.logs import log
--- a/marblefold/registry/store_words.py
+++ b/marblefold/registry/store_words.py
@@ -6,7 +6,8 @@
 
 from marblefold.breakdowns import Breakdown
 from marblefold.inner_protocol.mate_book import MateBook
-from marblefold.inner_protocol.mate_stream import Exchange, MateStream
+from marblefold.inner_protocol.exchange import Exchange
+from marblefold.inner_protocol.mate_stream import MateStream
 from marblefold.inner_protocol.messages import kinds, pack_message, unpack_message
 from marblefold.logs import log
 
--- a/marblefold/request_path/guard.py
+++ b/marblefold/request_path/guard.py
@@ -7,9 +7,10 @@
 import asyncio
 import time
 
+from marblefold import wire_names
 from marblefold.http_streams.target_streams import TargetStreams
 from marblefold.inner_protocol.frames import FrameKind
-from marblefold.inner_protocol.mate_stream import Exchange
+from marblefold.inner_protocol.exchange import Exchange
 from marblefold.inner_protocol.messages import kinds
 from marblefold.node_config.reading import Address, Bounds
 from marblefold.request_path.cold_limit import ColdLimit
@@ -26,6 +27,10 @@
 _DRAIN_SHARE = 0.4
 _LEAST_SECONDS = 0.003
 _REFUSED_RETRY_SECONDS = 0.1
+# Offered requests and not a byte for so long: look whether the target is there.
+_QUIET_SECONDS = 0.35
+_LOOK_SECONDS = 0.1
+_SHUN_SECONDS = 0.2
 
 
 class Guard:
@@ -41,6 +46,9 @@
         self._streams: TargetStreams | None = None
         self._caller: TargetCaller | None = None
         self._tasks: set[asyncio.Task] = set()
+        # The hops that the target holds now, by when they were offered.
+        self._offered: dict[Exchange, float] = {}
+        self._unreachable_until = 0.0
 
     @property
     def in_progress(self) -> int:
@@ -62,6 +70,25 @@
         task.add_done_callback(self._tasks.discard)
         exchange.on_cancel = task.cancel
 
+    async def run(self) -> None:
+        """Looks whether the target fell silent, for ever."""
+        while True:
+            await asyncio.sleep(_LOOK_SECONDS)
+            now = time.monotonic()
+            waiting = [at for at in self._offered.values() if now - at > _QUIET_SECONDS]
+            # One long request is no sign; several and not a byte are.
+            if len(waiting) < 2 or now - self._streams.heard_at < _QUIET_SECONDS:
+                continue
+            if not await self._streams.is_reachable():
+                self._give_up_on_target(now)
+
+    def _give_up_on_target(self, now: float) -> None:
+        self._unreachable_until = time.monotonic() + _SHUN_SECONDS
+        for exchange, at in list(self._offered.items()):
+            # What may be repeated need not wait here until its deadline.
+            if exchange.is_repeatable and at <= now and exchange.on_cancel is not None:
+                exchange.on_cancel()
+
     async def _serve(self, exchange: Exchange, head) -> None:
         try:
             answer = await self._pass(exchange, head, time.monotonic())
@@ -71,6 +98,10 @@
             # A body that followed its head was sent with it.
             if not answer.body_follows:
                 exchange.send(FrameKind.ANSWER, answer.SerializeToString())
+        except asyncio.CancelledError:
+            # The mate gave it up, or we did: in both cases this is the end.
+            exchange.send(FrameKind.RESET)
+            raise
         finally:
             exchange.close()
 
@@ -96,9 +127,15 @@
                 return _refuse("cold", self.cold.retry_after(started))
             head.deadline_left_ms = max(1, int(left * 1000))
             self.offered_count += 1
+            self._offered[exchange] = started
+            exchange.is_repeatable = head.mapping_kind == wire_names.READ_ONLY
             answer = await self._caller.offer(exchange, head, left)
         finally:
+            self._offered.pop(exchange, None)
             self.slots.give_back()
+        if answer.outcome == HopOutcome.NEVER_OFFERED:
+            self._unreachable_until = time.monotonic() + _SHUN_SECONDS
+            answer.retry_after_ms = int(_SHUN_SECONDS * 1000)
         self._learn(answer, started)
         return answer
 
@@ -113,6 +150,8 @@
         target = self._target
         if self._caller is None or target.instance != head.expected_instance:
             return _refuse("another instance", 0.0)
+        if time.monotonic() < self._unreachable_until:
+            return _refuse("target out of reach", _SHUN_SECONDS)
         if target.upstream != head.upstream:
             return _refuse("another upstream", 0.0)
         if target.state is TargetState.DRAINING:
--- a/marblefold/request_path/hop_sender.py
+++ b/marblefold/request_path/hop_sender.py
@@ -1,18 +1,26 @@
 """Sends one hop to the proxy beside a target and tells how it ended."""
 
 import asyncio
+import time
+from typing import Callable
 
+from marblefold import wire_names
 from marblefold.breakdowns import Breakdown
 from marblefold.http_streams.answer import Answer
 from marblefold.http_streams.downstream_request import BodyTooLarge, DownstreamRequest
 from marblefold.inner_protocol.frames import FrameKind
 from marblefold.inner_protocol.mate_book import MateBook
-from marblefold.inner_protocol.mate_stream import Exchange
+from marblefold.inner_protocol.exchange import Exchange
 from marblefold.inner_protocol.messages import kinds
 from marblefold.request_path.outcome import HopOutcome, HopResult, Pressure
 
 __all__ = ["HopSender"]
 
+# A mate that holds hops and is quiet for so long is asked for a sign of life,
+# and counts as silent when none comes in time.
+_QUIET_SECONDS = 0.15
+_PATIENCE_SECONDS = 0.3
+_LOOK_SECONDS = 0.1
 # How long after the deadline the guard's own word is still waited for.
 _GUARD_WORD_SECONDS = 0.03
 
@@ -20,8 +28,23 @@
 class HopSender:
     """Carries hops over the streams to mates."""
 
-    def __init__(self, mates: MateBook) -> None:
+    def __init__(self, mates: MateBook, on_silent: Callable[[str], None]) -> None:
         self._mates = mates
+        self._on_silent = on_silent
+
+    async def run(self) -> None:
+        """Looks for mates that fell silent, for ever.
+
+        A machine without power or behind a cut says nothing; what may be
+        repeated need not wait for it until the deadline.
+        """
+        while True:
+            await asyncio.sleep(_LOOK_SECONDS)
+            now = time.monotonic()
+            for stream in self._mates.streams():
+                if stream.is_silent(now, _QUIET_SECONDS, _PATIENCE_SECONDS):
+                    self._on_silent(stream.mate)
+                    stream.break_off_repeatable(Breakdown("silent", "no sign of life", stream.mate))
 
     async def send(
         self, mate: str, head, request: DownstreamRequest, body_bound: int, seconds: float,
@@ -33,6 +56,7 @@
             # No stream, nothing sent: certain.
             return HopResult(HopOutcome.NEVER_OFFERED, step=breakdown.step)
         exchange = stream.open_exchange()
+        exchange.is_repeatable = head.mapping_kind == wire_names.READ_ONLY
         sender: asyncio.Task | None = None
         is_over = False
         try:
--- a/marblefold/request_path/nomination.py
+++ b/marblefold/request_path/nomination.py
@@ -50,6 +50,7 @@
         self._zone = zone
         self._region = region
         self._records: dict[str, _Record] = {}
+        self._silent_until: dict[str, float] = {}
         self._random = random.Random(seed)
 
     def nominate(
@@ -70,6 +71,7 @@
                 target.is_draining or target.is_leaving
                 or target.node in self._view.suspects
                 or now - record.broken_at < _SHUN_SECONDS
+                or now < self._silent_until.get(target.mate, 0.0)
                 or now < record.refused_until
             )
             (resort if is_doubtful else preferred).append(target)
@@ -108,6 +110,10 @@
         """The mate or its target could not be talked to."""
         self._record(target.node).broken_at = now
 
+    def note_silent(self, mate: str, now: float) -> None:
+        """The mate gives no sign of life just now."""
+        self._silent_until[mate] = now + _SHUN_SECONDS
+
     def note_refusal(self, target: KnownTarget, until: float) -> None:
         """The guard does not want more before that time."""
         self._record(target.node).refused_until = until
--- a/marblefold/request_path/target_caller.py
+++ b/marblefold/request_path/target_caller.py
@@ -11,7 +11,7 @@
 from marblefold.http_streams.target_stream import TargetAnswer, TargetStream
 from marblefold.http_streams.target_streams import TargetStreams
 from marblefold.inner_protocol.frames import FrameKind
-from marblefold.inner_protocol.mate_stream import Exchange
+from marblefold.inner_protocol.exchange import Exchange
 from marblefold.inner_protocol.messages import kinds
 from marblefold.request_path.outcome import HopOutcome
 
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,78 @@
+"""Code, OpenAPI file and wire choices name the same things."""
+
+import json
+import pathlib
+import tomllib
+
+import yaml
+
+from marblefold import wire_names
+from marblefold.http_streams.call_router import CallRouter
+from marblefold.operator_spec import model
+from marblefold.proxy.beats import BeatCalls, read_beat
+from marblefold.registry.control_calls import ControlCalls
+
+ROOT = pathlib.Path(__file__).parent.parent
+API = yaml.safe_load((ROOT / "api/openapi.yaml").read_text())
+WIRE = tomllib.loads((ROOT / "deploy/wire.toml").read_text())
+SCHEMAS = API["components"]["schemas"]
+
+
+class RecordingRouter(CallRouter):
+    def __init__(self):
+        super().__init__()
+        self.calls = set()
+
+    def add(self, method, path, serve, most_bytes=4096):
+        self.calls.add((method, path))
+        super().add(method, path, serve, most_bytes)
+
+
+def test_the_calls_served_are_those_described():
+    router = RecordingRouter()
+    BeatCalls(None, "").add_to(router)
+    ControlCalls(None, set).add_to(router)
+    served = router.calls | {wire_names.READINESS_CALL}
+    described = set()
+    for path, operations in API["paths"].items():
+        bare = "/".join("{}" if part.startswith("{") else part for part in path.split("/"))
+        described |= {
+            (method.upper(), bare) for method in operations if method != "parameters"}
+    assert served == described
+    moved = {tuple(call.split(" ")) for call in WIRE["calls"].values()}
+    assert moved == described - {wire_names.READINESS_CALL}
+
+
+def test_the_model_of_a_spec_has_the_fields_described():
+    for kind in (model.Spec, model.Mapping, model.Split, model.Upstream, model.Limits):
+        fields = {field.name.replace("_", "-") for field in kind.__attrs_attrs__}
+        assert fields == set(SCHEMAS[kind.__name__]["properties"]), kind
+
+
+def test_the_renamed_fields_are_the_ones_the_code_uses():
+    described = {
+        name for schema in SCHEMAS.values() for name in schema.get("properties", ())}
+    spelled = {value for name, value in vars(wire_names).items()
+               if name.isupper() and isinstance(value, str)}
+    # Fields of the config file are checked where that file is read.
+    reading = (ROOT / "marblefold/node_config/reading.py").read_text()
+    unused = {"base-spec-number", "beat-address", "spec-mode"}
+    for name in set(WIRE["fields"].values()) - unused:
+        assert name in described & spelled or f'"{name}"' in reading \
+            or f'"bounds.{name}"' in reading, name
+
+
+def test_a_beat_as_described_is_read():
+    properties = SCHEMAS["Beat"]["properties"]
+    samples = {"string": "x", "integer": 3, "number": 2.5}
+    beat = {name: samples[field["type"]] for name, field in properties.items()}
+    beat["state"] = "draining"
+    assert read_beat("i-1", json.dumps(beat).encode()).is_draining
+    for name in SCHEMAS["Beat"]["required"]:
+        lacking = {key: value for key, value in beat.items() if key != name}
+        try:
+            read_beat("i-1", json.dumps(lacking).encode())
+        except ValueError as error:
+            assert name in str(error)
+        else:
+            raise AssertionError(f"a beat without {name} was taken")
