Hand out slots by whose aim ends first; keep telling suspects; more tests

Slots now go by rank, then by the end of the aim; the expected wait counts only who goes first. Ruled out: the breaker (never open). Probing: a test with one datagram in ten lost removed live nodes; suspects now hear of it every round and have two seconds.

--- a/marblefold/membership/prober.py
+++ b/marblefold/membership/prober.py
@@ -17,7 +17,7 @@
     period: float = 0.4
     direct: float = 0.25
     indirect: float = 0.35
-    suspicion: float = 1.0
+    suspicion: float = 2.0
     helpers: int = 3
     gone_probe: float = 1.0
     forget: float = 60.0
@@ -75,6 +75,11 @@
         if now >= self._next_probe:
             self._next_probe = now + self._config.period
             out.extend(self._probe_next(now))
+            # Whoever is suspected must hear of it more than once, for the
+            # word of it may be lost like any other.
+            out.extend(
+                self._ping(member.address) for member in self.table
+                if member.liveness is Liveness.SUSPECT)
         if now >= self._next_gone_probe:
             self._next_gone_probe = now + self._config.gone_probe
             out.extend(self._probe_gone(now))
--- a/marblefold/request_path/decision.py
+++ b/marblefold/request_path/decision.py
@@ -29,6 +29,7 @@
     target: KnownTarget
     seconds_left: float
     queue_seconds: float
+    aim_seconds: float
     attempt_number: int
     is_last_resort: bool
 
@@ -119,7 +120,7 @@
         queue_end = self._arrived + self._aim / 4
         return Offer(
             nominee.target, left, max(0.0, min(queue_end - now, left)),
-            self._offered + 1, nominee.is_last_resort,
+            self._arrived + self._aim - now, self._offered + 1, nominee.is_last_resort,
         )
 
     def _judge_last(self, now: float) -> Conclude | None:
--- a/marblefold/request_path/executor.py
+++ b/marblefold/request_path/executor.py
@@ -75,6 +75,7 @@
         head.expected_instance = target.instance
         head.deadline_left_ms = int(offer.seconds_left * 1000)
         head.queue_left_ms = int(offer.queue_seconds * 1000)
+        head.aim_left_ms = int(offer.aim_seconds * 1000)
         head.attempt_number = offer.attempt_number
         head.last_resort = offer.is_last_resort
         surroundings = self._surroundings
--- a/marblefold/request_path/guard.py
+++ b/marblefold/request_path/guard.py
@@ -17,7 +17,7 @@
 from marblefold.request_path.local_target import LocalTarget, TargetState
 from marblefold.request_path.mesh_view import MeshView
 from marblefold.request_path.outcome import HopOutcome
-from marblefold.request_path.slot_queue import SlotQueue
+from marblefold.request_path.slot_queue import SlotQueue, Turn
 from marblefold.request_path.target_caller import TargetCaller
 
 __all__ = ["Guard"]
@@ -110,10 +110,12 @@
         if refusal is not None:
             return refusal
         deadline = came + head.deadline_left_ms / 1000.0
-        longest = head.queue_left_ms / 1000.0
-        if not await self.slots.take(head.priority, deadline, longest):
+        # By rank, then by whose aim ends first: short calls, which others
+        # wait for in the midst of their work, are not held up by long ones.
+        turn = Turn(head.priority, came + head.aim_left_ms / 1000.0)
+        if not await self.slots.take(turn, head.queue_left_ms / 1000.0):
             return _refuse("no slot in time", max(
-                _REFUSED_RETRY_SECONDS, self.slots.expected_wait))
+                _REFUSED_RETRY_SECONDS, self.slots.expected_wait(turn)))
         started = time.monotonic()
         try:
             # What held before the wait may not hold any more.
--- a/marblefold/request_path/slot_queue.py
+++ b/marblefold/request_path/slot_queue.py
@@ -3,58 +3,68 @@
 import asyncio
 import heapq
 import itertools
+from typing import NamedTuple
 
-__all__ = ["SlotQueue"]
+__all__ = ["SlotQueue", "Turn"]
 
 _LEARN = 0.1
 
 
+class Turn(NamedTuple):
+    """Who goes first: the lower rank, then the earlier end."""
+
+    rank: int
+    end: float
+
+
 class SlotQueue:
-    """Slots handed out by priority, then by deadline."""
+    """Slots handed out in the order of turns."""
 
     def __init__(self, limit: int) -> None:
         self.limit = limit
         self.running = 0
         self._service_seconds = 0.05
         self._order = itertools.count()
-        self._waiting: list[tuple[int, float, int, asyncio.Future]] = []
-        self._waiting_count = 0
+        self._waiting: list[tuple[Turn, int, asyncio.Future]] = []
 
     @property
     def waiting(self) -> int:
         """How many wait for a slot."""
-        return self._waiting_count
+        return sum(1 for _turn, _order, future in self._waiting if not future.done())
 
-    @property
-    def expected_wait(self) -> float:
-        """How long one more would likely wait."""
-        if self.running < self.limit and not self._waiting_count:
+    def expected_wait(self, turn: Turn) -> float:
+        """How long a request of that turn would likely wait."""
+        if self.running < self.limit:
             return 0.0
-        return (self._waiting_count + 1) * self._service_seconds / max(1, self.limit)
+        # Only who goes first stands in the way.
+        ahead = sum(
+            1 for other, _order, future in self._waiting
+            if other <= turn and not future.done())
+        return (ahead + 1) * self._service_seconds / max(1, self.limit)
 
     def note_service(self, seconds: float) -> None:
         """A request took the target so long."""
         self._service_seconds += _LEARN * (seconds - self._service_seconds)
 
-    async def take(self, priority: int, deadline: float, longest: float) -> bool:
+    async def take(self, turn: Turn, longest: float) -> bool:
         """Waits for a slot, at most so long; tells whether it was had."""
-        if self.running < self.limit and not self._waiting_count:
+        if self.running < self.limit:
             self.running += 1
             return True
         # A wait that cannot end in time is refused now: early costs least.
-        if longest <= 0 or self.expected_wait > longest:
+        if longest <= 0 or self.expected_wait(turn) > longest:
             return False
         future = asyncio.get_running_loop().create_future()
-        heapq.heappush(self._waiting, (priority, deadline, next(self._order), future))
-        self._waiting_count += 1
+        heapq.heappush(self._waiting, (turn, next(self._order), future))
         try:
             async with asyncio.timeout(longest):
                 await future
             return True
         except TimeoutError:
-            return self._leave(future)
+            # The slot may have come at the same moment.
+            return _was_granted(future)
         except asyncio.CancelledError:
-            if self._leave(future):
+            if _was_granted(future):
                 self.give_back()
             raise
 
@@ -68,20 +78,18 @@
         self.limit = max(1, limit)
         self._hand_out()
 
-    def _leave(self, future: asyncio.Future) -> bool:
-        """Leaves the queue; true if the slot came at the same moment."""
-        if future.done() and not future.cancelled():
-            return True
-        future.cancel()
-        self._waiting_count -= 1
-        return False
-
     def _hand_out(self) -> None:
         while self._waiting and self.running < self.limit:
-            _priority, _deadline, _order, future = heapq.heappop(self._waiting)
+            _turn, _order, future = heapq.heappop(self._waiting)
             # Whoever left the queue is still in the heap, marked as done.
             if future.done():
                 continue
-            self._waiting_count -= 1
             self.running += 1
             future.set_result(None)
+
+
+def _was_granted(future: asyncio.Future) -> bool:
+    if future.done() and not future.cancelled():
+        return True
+    future.cancel()
+    return False
--- /dev/null
+++ b/tests/test_guard_parts.py
@@ -0,0 +1,131 @@
+"""The guard's parts against plain models: slots, cold seconds, lives, budget."""
+
+import asyncio
+from datetime import timedelta
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from marblefold.request_path.cold_limit import ColdLimit
+from marblefold.request_path.local_target import Beat, LocalTarget, TargetState
+from marblefold.request_path.retry_budget import RetryBudget
+from marblefold.request_path.slot_queue import SlotQueue, Turn
+
+
+@given(
+    steps=st.lists(st.tuples(st.floats(0, 0.4), st.booleans()), max_size=80),
+    most=st.integers(1, 6), started=st.booleans(),
+)
+def test_no_second_of_a_cold_target_holds_more_than_its_limit(steps, most, started):
+    limit = ColdLimit()
+    limit.cold_until = 1e9
+    if started:
+        limit.assume_spent(0.0)
+    now, offered = 0.0, []
+    for seconds, _ in steps:
+        now += seconds
+        if limit.may_offer(now, most):
+            offered.append(now)
+            assert sum(1 for at in offered if now - at <= 1.0) <= most
+            assert not started or now > 1.0
+        else:
+            assert limit.retry_after(now) > 0
+
+
+def test_arrivals_before_it_went_cold_count_too():
+    limit = ColdLimit()
+    assert all(limit.may_offer(0.1, 3) for _ in range(10))
+    limit.cold_until = 5.0
+    assert not limit.may_offer(0.5, 3)
+    assert limit.may_offer(1.3, 3)
+
+
+BEATS = st.lists(st.tuples(
+    st.sampled_from(["i-1", "i-2"]), st.integers(0, 5), st.booleans(), st.booleans()),
+    max_size=25)
+
+
+@given(BEATS)
+def test_draining_and_gone_never_revert_within_a_life(beats):
+    target = LocalTarget(lambda: None)
+    worst = {}
+    order = list(TargetState)
+    for instance, number, draining, leaves in beats:
+        if leaves:
+            target.leave(instance)
+        else:
+            target.take_beat(Beat(instance, "q", "a", "z", 4, draining, timedelta(0), number))
+        if target.instance:
+            rank = order.index(target.state)
+            assert rank >= worst.get(target.instance, 0)
+            worst[target.instance] = rank
+
+
+def test_late_beats_change_nothing():
+    target = LocalTarget(lambda: None)
+    beat = Beat("i-1", "q", "a", "z", 4, False, timedelta(0), 5)
+    target.take_beat(beat)
+    target.take_beat(beat._replace(number=4, slots=9))
+    assert target.slots == 4
+    target.take_beat(beat._replace(instance="i-2", number=1))
+    target.take_beat(beat._replace(number=9))
+    assert target.instance == "i-2"
+
+
+def test_slots_go_by_rank_then_by_the_end_and_no_more_than_there_are():
+    async def test():
+        queue = SlotQueue(1)
+        order = []
+
+        async def take(name, turn):
+            assert await queue.take(turn, 30.0)
+            order.append(name)
+
+        assert await queue.take(Turn(0, 0.0), 1.0)
+        tasks = [asyncio.ensure_future(take(name, Turn(rank, end))) for name, rank, end in (
+            ("late", 1, 9.0), ("early", 1, 2.0), ("low", 2, 1.0), ("left", 1, 1.0))]
+        await asyncio.sleep(0)
+        assert queue.waiting == 4
+        tasks[3].cancel()
+        for _ in range(6):
+            await asyncio.sleep(0)
+            assert queue.running <= 1
+            queue.give_back()
+        await asyncio.sleep(0)
+        assert order == ["early", "late", "low"]
+        assert queue.waiting == 0
+    asyncio.run(test())
+
+
+def test_who_cannot_have_a_slot_in_time_is_refused_at_once():
+    async def test():
+        queue = SlotQueue(1)
+        queue.note_service(1.0)
+        assert await queue.take(Turn(0, 0.0), 0.1)
+        assert not await queue.take(Turn(0, 0.0), 0.01)
+        assert not await queue.take(Turn(0, 0.0), 0.0)
+    asyncio.run(test())
+
+
+@settings(max_examples=60)
+@given(
+    events=st.lists(st.tuples(st.floats(0, 0.5), st.integers(0, 2), st.booleans()), max_size=200),
+    proxies=st.integers(1, 3), slack=st.floats(0, 12),
+)
+def test_all_proxies_together_stay_within_the_budget_in_every_window(events, proxies, slack):
+    ratio, window = 0.2, 10.0
+    budgets = [RetryBudget(ratio, timedelta(seconds=window), slack) for _ in range(proxies)]
+    now, requests, repeats = 0.0, [], []
+    for seconds, index, is_repeat in events:
+        now += seconds
+        budget = budgets[index % proxies]
+        if not is_repeat:
+            budget.note_request(now)
+            requests.append(now)
+        elif budget.may_repeat(now, proxies):
+            budget.note_repeat(now)
+            repeats.append(now)
+    for end in repeats:
+        inside = sum(1 for at in repeats if end - window <= at <= end)
+        near = sum(1 for at in requests if end - 1.5 * window <= at <= end)
+        assert inside <= ratio * near + slack
