--- a/marblefold/operator_spec/reading.py
+++ b/marblefold/operator_spec/reading.py
@@ -76,6 +76,12 @@
 _converter = _make_converter()
 
 
+def _place_first(line: str) -> str:
+    """The place as the operator writes it, then what is wrong there."""
+    fault, _sign, place = line.partition(" @ ")
+    return f"{place.removeprefix('$.').replace('_', '-')}: {fault}"
+
+
 def read_spec(body: bytes) -> Spec:
     """The spec in the body, or InvalidSpec with every fault found."""
     try:
@@ -87,7 +93,8 @@
     try:
         spec = _converter.structure(document, Spec)
     except cattrs.BaseValidationError as error:
-        faults = [Breakdown("read spec", line) for line in cattrs.transform_error(error)]
+        faults = [
+            Breakdown("read spec", _place_first(line)) for line in cattrs.transform_error(error)]
         raise InvalidSpec("spec", faults) from error
     faults = [Breakdown("check spec", line) for line in find_faults(spec)]
     if faults:
