--- a/marblefold/proxy/program.py
+++ b/marblefold/proxy/program.py
@@ -56,7 +56,8 @@
             self.view, self._make_notice)
         self._membership = NodeMembership(watch, "proxy", PROXY, self._on_member)
         nominator = Nominator(self.view, config.zone, config.region)
-        self.surroundings = Surroundings(self.view, nominator, config.bounds)
+        self.surroundings = Surroundings(
+            self.view, nominator, config.bounds, config.limits)
         self._mates = MateBook(self)
         self._hops = HopSender(
             self._mates, lambda mate: nominator.note_silent(mate, time.monotonic()))
--- a/marblefold/request_path/executor.py
+++ b/marblefold/request_path/executor.py
@@ -34,6 +34,20 @@
         refusal, mapping = self._find_mapping(request)
         if refusal is not None:
             return refusal
+        # Decided on the head alone, before anything is spent on the request.
+        crowd = self._surroundings.crowd
+        passage = crowd.ask(mapping.name, mapping.priority, request.arrived)
+        if not passage.allowed:
+            log.warning("too many alike", mapping=mapping.name, attempt=request.attempt_id)
+            return own_answer(
+                429, "too many alike", request.attempt_id, passage.retry_after)
+        ticket = crowd.begin(mapping.name, request.arrived, request.attempt_id)
+        try:
+            return await self._serve_mapped(request, mapping)
+        finally:
+            crowd.end(mapping.name, ticket)
+
+    async def _serve_mapped(self, request: DownstreamRequest, mapping: Mapping) -> Answer:
         body_limit = self._surroundings.view.table.limits.body_bytes
         deadline = self._find_deadline(request, mapping)
         try:
--- a/marblefold/request_path/surroundings.py
+++ b/marblefold/request_path/surroundings.py
@@ -5,9 +5,10 @@
 from typing import Collection
 
 from marblefold.circuit_breaker.breaker import Breaker, Passage
+from marblefold.circuit_breaker.crowd_control import CrowdConfig, CrowdControl
 from marblefold.circuit_breaker.work_tracker import Ticket
 from marblefold.logs import log
-from marblefold.node_config.reading import Bounds
+from marblefold.node_config.reading import Bounds, Limits
 from marblefold.request_path.mesh_view import KnownTarget, MeshView
 from marblefold.request_path.nomination import Nominator, Nominee
 from marblefold.request_path.outcome import HopOutcome, HopResult
@@ -17,14 +18,23 @@
 
 
 _SHUN_SECONDS = 0.2
+# What one request may hold at the most, on average: two descriptors, and its
+# part of the memory that the program itself does not need.
+_DESCRIPTORS_EACH = 2
+_DESCRIPTORS_KEPT = 250
+_MEMORY_SHARE = 0.5
+_MEMORY_MB_EACH = 0.15
 
 
 class Surroundings:
     """Answers a decision's questions and learns from the ends of hops."""
 
-    def __init__(self, view: MeshView, nominator: Nominator, bounds: Bounds) -> None:
+    def __init__(
+        self, view: MeshView, nominator: Nominator, bounds: Bounds, limits: Limits,
+    ) -> None:
         self.view = view
         self.nominator = nominator
+        self.crowd = CrowdControl(CrowdConfig(_count_resources(limits)))
         self._bounds = bounds
         self._breakers: dict[str, Breaker] = {}
         self._budgets: dict[str, RetryBudget] = {}
@@ -118,3 +128,10 @@
             budget = self._budgets[upstream] = RetryBudget(
                 self._bounds.retry_ratio, self._bounds.retry_window, self._bounds.retry_slack)
         return budget
+
+
+def _count_resources(limits: Limits) -> int:
+    """How many requests this process has the means to hold at once."""
+    by_descriptors = (limits.file_descriptors - _DESCRIPTORS_KEPT) // _DESCRIPTORS_EACH
+    by_memory = int(limits.memory_mb * _MEMORY_SHARE / _MEMORY_MB_EACH)
+    return max(16, min(by_descriptors, by_memory))
