Serve calls made in the midst of runs first; refuse a little before a quarter aim

Calls known by the id of their run now go first and may wait; others are refused at a fifth of the aim. Calls of repeats count as repeats.

--- a/marblefold/proxy/program.py
+++ b/marblefold/proxy/program.py
@@ -61,7 +61,8 @@
         self._mates = MateBook(self)
         self._hops = HopSender(
             self._mates, lambda mate: nominator.note_silent(mate, time.monotonic()))
-        self.executor = RequestExecutor(self.surroundings, self._hops, config.upstream)
+        self.executor = RequestExecutor(
+            self.surroundings, self._hops, self.guard.work, config.upstream)
         self.outbound = DownstreamServer(self.executor.serve)
         calls, ready = CallRouter(), CallRouter()
         BeatCalls(self.target, config.zone).add_to(calls)
--- a/marblefold/request_path/decision.py
+++ b/marblefold/request_path/decision.py
@@ -17,6 +17,12 @@
 
 # Less time than this is not worth a hop.
 _LEAST_SECONDS = 0.004
+# What is not offered within a quarter of its aim had better be told so, for
+# the downstream to come back while that helps; the rest is for the way.
+_QUEUE_AIM_SHARE = 0.2
+# A call in the midst of a run fails that run with it, and nobody comes back
+# for it: it may wait for this part of the time it has.
+_QUEUE_CALL_SHARE = 0.6
 # Guards that turn a hop away cost little; still the search must end.
 _MOST_REFUSED_HOPS = 4
 _RETRY_WHEN_NO_TARGET = 0.25
@@ -59,7 +65,7 @@
 
     def __init__(
         self, mapping: Mapping, upstream: str, attempt_id: str, arrived: float,
-        deadline: float, is_replayable: bool, kilobytes: float, facts: Facts,
+        deadline: float, is_replayable: bool, kilobytes: float, is_call: bool, facts: Facts,
     ) -> None:
         self.upstream = upstream
         self.deadline = deadline
@@ -68,6 +74,8 @@
         self._facts = facts
         self._arrived = arrived
         self._aim = max(0.02, mapping.target_latency.total_seconds())
+        self._queue_end = arrived + (
+            _QUEUE_CALL_SHARE * (deadline - arrived) if is_call else _QUEUE_AIM_SHARE * self._aim)
         self._is_repeatable = mapping.kind == wire_names.READ_ONLY
         self._is_replayable = is_replayable
         self._kilobytes = kilobytes
@@ -115,11 +123,8 @@
             self._kilobytes, now)
         if nominee is None:
             return self._give_up("nominate", now)
-        # What is not offered within a quarter of its aim had better be told
-        # so, for the downstream to come back while that still helps.
-        queue_end = self._arrived + self._aim / 4
         return Offer(
-            nominee.target, left, max(0.0, min(queue_end - now, left)),
+            nominee.target, left, max(0.0, min(self._queue_end - now, left)),
             self._arrived + self._aim - now, self._offered + 1, nominee.is_last_resort,
         )
 
@@ -139,8 +144,7 @@
             return self._give_up(last.step, now)
         if last.outcome is HopOutcome.NEVER_OFFERED:
             # Held for long enough, or turned away often enough.
-            late = now >= self._arrived + self._aim / 4
-            if late or self._refused_hops >= _MOST_REFUSED_HOPS:
+            if now >= self._queue_end or self._refused_hops >= _MOST_REFUSED_HOPS:
                 return self._give_up(last.step, now)
         return None
 
--- a/marblefold/request_path/executor.py
+++ b/marblefold/request_path/executor.py
@@ -11,6 +11,7 @@
 from marblefold.request_path.decision import Conclude, Offer, RequestDecision
 from marblefold.request_path.hop_sender import HopSender
 from marblefold.request_path.outcome import HopOutcome, HopResult
+from marblefold.request_path.running_work import RunningWork
 from marblefold.request_path.surroundings import Surroundings
 
 __all__ = ["RequestExecutor"]
@@ -23,8 +24,11 @@
 class RequestExecutor:
     """Serves the requests that downstreams send to this proxy."""
 
-    def __init__(self, surroundings: Surroundings, hops: HopSender, caller: str) -> None:
+    def __init__(
+        self, surroundings: Surroundings, hops: HopSender, work: RunningWork, caller: str,
+    ) -> None:
         self.caller = caller
+        self._work = work
         self._surroundings = surroundings
         self._hops = hops
         self._random = random.Random()
@@ -62,13 +66,21 @@
     ) -> Answer:
         surroundings = self._surroundings
         upstream = self._pick_upstream(mapping)
+        parent = self._work.find_parent(request.attempt_id)
         decision = RequestDecision(
             mapping, upstream, request.attempt_id, request.arrived, deadline, is_whole,
             max(len(body), request.body_length) / 1024
             + surroundings.answer_kilobytes(mapping.name),
-            surroundings)
-        surroundings.note_request(upstream, time.monotonic())
+            parent is not None, surroundings)
+        now = time.monotonic()
+        surroundings.note_request(upstream, now)
         head = self._make_head(request, mapping, upstream, body, is_whole)
+        if parent is not None:
+            # Work was put into the run already: its calls go first.
+            head.priority = 0
+            head.repeat_run = parent.is_repeat
+            if parent.is_repeat:
+                surroundings.note_repeat(upstream, now)
         while True:
             step = decision.next_step(time.monotonic())
             if isinstance(step, Conclude):
@@ -147,7 +159,7 @@
             caller_service=self.caller,
             mapping_kind=mapping.kind,
             spec_number=self._surroundings.view.table.number,
-            priority=max(0, mapping.priority),
+            priority=1 + max(0, mapping.priority),
             body=body,
             body_follows=not is_whole,
             body_length=length,
--- a/marblefold/request_path/guard.py
+++ b/marblefold/request_path/guard.py
@@ -17,6 +17,7 @@
 from marblefold.request_path.local_target import LocalTarget, TargetState
 from marblefold.request_path.mesh_view import MeshView
 from marblefold.request_path.outcome import HopOutcome
+from marblefold.request_path.running_work import Run, RunningWork
 from marblefold.request_path.slot_queue import SlotQueue, Turn
 from marblefold.request_path.target_caller import TargetCaller
 
@@ -39,6 +40,7 @@
     def __init__(self, target: LocalTarget, view: MeshView, bounds: Bounds) -> None:
         self.cold = ColdLimit()
         self.slots = SlotQueue(1)
+        self.work = RunningWork()
         self.offered_count = 0
         self._target = target
         self._view = view
@@ -117,6 +119,7 @@
             return _refuse("no slot in time", max(
                 _REFUSED_RETRY_SECONDS, self.slots.expected_wait(turn)))
         started = time.monotonic()
+        run = Run(head.attempt_id, head.repeat_run or head.attempt_number > 1)
         try:
             # What held before the wait may not hold any more.
             refusal = self._find_refusal(head)
@@ -130,10 +133,12 @@
             head.deadline_left_ms = max(1, int(left * 1000))
             self.offered_count += 1
             self._offered[exchange] = started
+            self.work.begin(run)
             exchange.is_repeatable = head.mapping_kind == wire_names.READ_ONLY
             answer = await self._caller.offer(exchange, head, left)
         finally:
             self._offered.pop(exchange, None)
+            self.work.end(run)
             self.slots.give_back()
         if answer.outcome == HopOutcome.NEVER_OFFERED:
             self._unreachable_until = time.monotonic() + _SHUN_SECONDS
