--- a/marblefold/request_path/nomination.py
+++ b/marblefold/request_path/nomination.py
@@ -14,7 +14,7 @@
 _SHUN_SECONDS = 1.0
 # Bytes between zones have a price: what a kilobyte of a hop adds, in aims,
 # to the latency that is compared, and the most that it may add.
-_ZONE_SURCHARGE_PER_KILOBYTE = 0.03
+_ZONE_SURCHARGE_PER_KILOBYTE = 0.06
 _MOST_ZONE_SURCHARGE = 1.0
 _LEARN = 0.15
 _NEAR_CANDIDATES = 4
@@ -147,7 +147,7 @@
             slots = record.told.slots or slots
         use = (pressure + 1.0) / max(1, slots)
         # While slots are free more work hardly slows; beyond them it queues.
-        factor = 1.0 + 0.3 * use + 1.5 * max(0.0, use - 0.75)
+        factor = 1.0 + 0.3 * use + 4.0 * max(0.0, use - 0.8)
         latency = record.latency or 0.3
         if target.cold_until > now:
             factor *= 3.0
