--- a/marblefold/proxy/registry_follower.py
+++ b/marblefold/proxy/registry_follower.py
@@ -52,7 +52,11 @@
 
     async def run(self) -> None:
         """Keeps a stream to every registry known, for ever."""
+        was_in_touch = False
         while True:
+            if self.is_in_touch != was_in_touch:
+                was_in_touch = not was_in_touch
+                log.info("in touch" if was_in_touch else "out of touch", node=self._node)
             wanted = set(self._seeds()) | self._view.registries
             async with asyncio.TaskGroup() as group:
                 for mate in wanted:
--- a/marblefold/registry/feed.py
+++ b/marblefold/registry/feed.py
@@ -20,10 +20,12 @@
     def __init__(
         self, catalogue: Catalogue, is_in_touch: Callable[[], bool],
         count_proxies: Callable[[], int],
+        soon: Callable[[Callable[[], None]], object] | None = None,
     ) -> None:
         self._catalogue = catalogue
         self._is_in_touch = is_in_touch
         self._count_proxies = count_proxies
+        self._soon = soon or _call_soon
         self._places: dict[MateStream, int] = {}
         self._is_pending = False
         catalogue.listen(self._on_change)
@@ -50,7 +52,7 @@
         # Changes of one turn of the loop travel together.
         if not self._is_pending:
             self._is_pending = True
-            asyncio.get_running_loop().call_soon(self._push)
+            self._soon(self._push)
 
     def _push(self) -> None:
         self._is_pending = False
@@ -70,3 +72,7 @@
             in_touch=self._is_in_touch(),
             proxies=self._count_proxies(),
         )))
+
+
+def _call_soon(push: Callable[[], None]) -> None:
+    asyncio.get_running_loop().call_soon(push)
--- a/marblefold/request_path/guard.py
+++ b/marblefold/request_path/guard.py
@@ -170,11 +170,18 @@
             return _refuse(target.state.value, 0.0)
         if target.zone in self._view.evacuated:
             return _refuse("evacuated", 0.0)
-        if self.slots.limit != target.slots:
-            self.slots.set_limit(target.slots)
+        limit = self._find_limit(target)
+        if self.slots.limit != limit:
+            self.slots.set_limit(limit)
         self.cold.cold_until = target.cold_until
         return None
 
+    def _find_limit(self, target: LocalTarget) -> int:
+        """How many at once: each takes a slot, and a stream to the target."""
+        table = self._view.table
+        known = table.upstreams.get(target.upstream) if table is not None else None
+        return target.slots if known is None else max(1, min(target.slots, known.stream_limit))
+
     def _cold_most(self, upstream: str) -> float:
         table = self._view.table
         known = table.upstreams.get(upstream) if table is not None else None
--- /dev/null
+++ b/tests/test_feed.py
@@ -0,0 +1,102 @@
+"""Catalogue and feed: followers end with what the registry holds, never older."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from marblefold.inner_protocol.messages import kinds, pack_message, unpack_message
+from marblefold.proxy.registry_follower import RegistryFollower
+from marblefold.registry.catalogue import Catalogue
+from marblefold.registry.feed import FeedKeeper
+from marblefold.request_path.mesh_view import MeshView
+
+
+class Wire:
+    """A stream that hands each message to a follower, or loses it."""
+
+    mate = "registry:1"
+
+    def __init__(self, follower):
+        self.follower = follower
+        self.loses = False
+        self.asked = []
+
+    def send(self, _kind, _number, payload):
+        message = unpack_message(payload)
+        if isinstance(message, kinds.Follow):
+            self.asked.append(message)
+        elif not self.loses:
+            self.follower.on_tell(self, payload)
+
+
+def make_entry(zone, number, value):
+    return kinds.Entry(kind="evacuation", key=zone, number=number, value=value)
+
+
+EVENTS = st.lists(st.one_of(
+    st.tuples(st.just("put"), st.sampled_from("abc"), st.integers(1, 9), st.booleans()),
+    st.tuples(st.just("lose"), st.just(""), st.just(0), st.booleans()),
+    st.tuples(st.just("restart"), st.just(""), st.just(0), st.booleans()),
+), max_size=40)
+
+
+@given(EVENTS)
+def test_a_follower_that_misses_changes_asks_again_and_catches_up(events):
+    view = MeshView("n")
+    follower = RegistryFollower("n", list, view, kinds.TargetNotice)
+    wire = Wire(follower)
+    life, newest = 1, {}
+
+    def start(life):
+        catalogue = Catalogue(life)
+        keeper = FeedKeeper(catalogue, lambda: True, lambda: 3, soon=lambda push: None)
+        keeper.follow(wire, kinds.Follow())
+        return catalogue, keeper
+
+    catalogue, keeper = start(life)
+    for what, zone, number, is_on in events:
+        if what == "lose":
+            wire.loses = is_on
+        elif what == "restart":
+            # A new life knows nothing but what it is told again.
+            life += 1
+            catalogue, keeper = start(life)
+            for entry in newest.values():
+                catalogue.put(entry)
+            keeper._push()
+        else:
+            entry = make_entry(zone, number, b"on" if is_on else b"off")
+            if number > (newest[zone].number if zone in newest else 0):
+                newest[zone] = entry
+            catalogue.put(entry)
+            keeper._push()
+        while wire.asked:
+            keeper.follow(wire, wire.asked.pop())
+    wire.loses = False
+    catalogue.put(kinds.Entry(kind="evacuation", key="last", number=1, value=b"on"))
+    keeper._push()
+    while wire.asked:
+        keeper.follow(wire, wire.asked.pop())
+    assert view.evacuated == {
+        zone for zone, entry in newest.items() if entry.value == b"on"} | {"last"}
+    assert view.proxies == 3 and follower.is_in_touch
+
+
+def test_changes_come_from_a_place_on_and_a_frame_where_they_are_gone():
+    catalogue = Catalogue(7)
+    for number in range(1, 2103):
+        catalogue.put(make_entry("a", number, b"on"))
+    assert [entry.number for entry in catalogue.changes_since(7, 2100)] == [2101, 2102]
+    assert catalogue.changes_since(7, 2102) == []
+    assert catalogue.changes_since(7, 3) is None
+    assert catalogue.changes_since(6, 2100) is None and len(catalogue.frame()) == 1
+    assert not catalogue.put(make_entry("a", 2102, b"off"))
+
+
+def test_bytes_that_are_no_message_are_refused():
+    assert unpack_message(pack_message(kinds.Follow(node="n"))).node == "n"
+    for payload in (b"", b"\xff", bytes((0,)) + b"\xff\xff"):
+        try:
+            unpack_message(payload)
+        except ValueError:
+            continue
+        raise AssertionError(payload)
--- /dev/null
+++ b/tests/test_node_config.py
@@ -0,0 +1,97 @@
+"""The config file: what is read, what is refused by name, what is taken up."""
+
+import json
+import os
+import subprocess
+import sys
+from datetime import timedelta
+
+import pytest
+
+from marblefold.breakdowns import Breakdown
+from marblefold.node_config.reading import parse_config
+from marblefold.node_config.watching import ConfigWatch
+
+GOOD = """
+node-name=sidecar-1
+zone=hall-a
+region=west
+zones.hall-a=west
+zones.hall-b=west
+ip-address=10.1.0.8
+listen-addresses.outbound=10.1.0.8:8304
+internal-port-range=7620,7635
+seed-mates=10.1.0.13:8306,10.2.0.10:8306
+initial-start=true
+beat-wakeup-ms=1500
+limits.memory-mb=300
+limits.max-file-descriptors=4100
+bounds.contact-window-ms=3000
+bounds.ack-timeout-ms=4000
+bounds.drain-timeout-ms=2000
+bounds.grace-period-s=6
+bounds.loss-slack-ms=200
+bounds.spec-apply-ms=2000
+bounds.retry-budget-ratio=0.2
+bounds.retry-window-s=10
+bounds.retry-budget-slack=62
+bounds.cold-overage=1.5
+bounds.cold-slack=5
+bounds.evacuation-ms=5000
+app-address=10.1.0.8:8301
+upstream=quotes
+a-new.field=of no concern
+"""
+
+
+def test_a_good_file_is_read_with_its_units():
+    config = parse_config(GOOD)
+    assert config.seeds[1].port == 8306 and config.inner_ports == (7620, 7635)
+    assert config.bounds.grace_period == timedelta(seconds=6)
+    assert config.zone_regions == {"hall-a": "west", "hall-b": "west"}
+    assert not config.is_loss_counted and config.app_address.host == "10.1.0.8"
+
+
+@pytest.mark.parametrize("field, value", [
+    ("zone", None), ("initial-start", "maybe"), ("beat-wakeup-ms", "soon"),
+    ("beat-wakeup-ms", "-1"), ("beat-wakeup-ms", "nan"), ("internal-port-range", "7635,7620"),
+    ("internal-port-range", "7620"), ("seed-mates", "10.1.0.13"),
+    ("listen-addresses.outbound", "10.1.0.8:99999"), ("bounds.cold-slack", None),
+    ("limits.max-file-descriptors", "1.5"), ("node-name", ""),
+])
+def test_a_missing_or_bad_field_is_named(field, value):
+    lines = [line for line in GOOD.splitlines() if not line.startswith(field + "=")]
+    if value is not None:
+        lines.append(f"{field}={value}")
+    with pytest.raises(Breakdown) as caught:
+        parse_config("\n".join(lines))
+    assert field in caught.value.reason
+
+
+def test_a_bad_reread_keeps_what_was_in_force(tmp_path):
+    path = tmp_path / "boot.conf"
+    path.write_text(GOOD)
+    taken = []
+    watch = ConfigWatch(parse_config(GOOD), {"MARBLEFOLD_NODE_FILE": str(path)})
+    watch.listen(taken.append)
+    path.write_text("zone=\n")
+    watch.reread()
+    assert watch.config.upstream == "quotes" and taken == []
+    path.write_text(GOOD.replace("upstream=quotes", "upstream=orders"))
+    watch.reread()
+    assert [config.upstream for config in taken] == ["orders"]
+    path.unlink()
+    watch.reread()
+    assert watch.config.upstream == "orders"
+
+
+@pytest.mark.parametrize("change, status", [("", 0), ("zone=\n", 1)])
+def test_the_check_flag_ends_with_one_json_line_and_a_status(tmp_path, change, status):
+    path = tmp_path / "boot.conf"
+    path.write_text(GOOD + change)
+    done = subprocess.run(
+        [sys.executable, "-m", "marblefold", "proxy", "--check_settings"],
+        env={**os.environ, "MARBLEFOLD_NODE_FILE": str(path)}, capture_output=True, text=True)
+    event = json.loads(done.stdout)
+    assert done.returncode == status
+    assert status == 0 or "zone" in event["reason"]
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -6,6 +6,7 @@
 
 from marblefold.breakdowns import Breakdown
 from marblefold.http_streams.answer import Answer
+from marblefold.http_streams.downstream_request import BodyTooLarge
 from marblefold.http_streams.downstream_stream import DownstreamStream
 from marblefold.http_streams.target_stream import StreamState, TargetStream
 
@@ -129,6 +130,47 @@
     run(test)
 
 
+def test_a_body_that_waits_for_a_word_gets_it_when_it_is_wanted():
+    async def test():
+        keeper, transport, stream = make_downstream()
+        stream.data_received(
+            b"POST /1 HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n")
+        await turns()
+        assert transport.written == b""
+        gathered = asyncio.ensure_future(keeper.requests[0].gather(100, 100))
+        await turns()
+        assert transport.written == b"HTTP/1.1 100 Continue\r\n\r\n"
+        stream.data_received(b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
+        assert await gathered == (b"abcde", True)
+    run(test)
+
+
+def test_headers_of_one_stream_stay_there_and_the_others_keep_their_order():
+    async def test():
+        keeper, _transport, stream = make_downstream()
+        stream.data_received(
+            b"GET /1 HTTP/1.1\r\nHost: h\r\nX-A: 1\r\nConnection: close, X-Hop\r\n"
+            b"X-Hop: no\r\nx-a: 2\r\nTE: trailers\r\nDeadline-Ms: 5\r\n"
+            b"Caller-Service: liar\r\nAttempt-Id: i\r\n\r\n")
+        await turns()
+        request = keeper.requests[0]
+        assert request.header_block() == (
+            b"Host: h\r\nX-A: 1\r\nx-a: 2\r\nAttempt-Id: i\r\n")
+        assert request.deadline_ms == 5.0 and request.closes
+    run(test)
+
+
+def test_a_body_over_the_limit_is_told_before_it_is_gathered():
+    async def test():
+        keeper, _transport, stream = make_downstream()
+        stream.data_received(b"POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 99\r\n\r\n")
+        await turns()
+        with pytest.raises(BodyTooLarge):
+            await keeper.requests[0].gather(1000, 50)
+    run(test)
+
+
 def test_a_downstream_that_leaves_ends_the_work_for_it():
     async def test():
         keeper, _transport, stream = make_downstream()
