--- a/marblefold/circuit_breaker/breaker.py
+++ b/marblefold/circuit_breaker/breaker.py
@@ -56,7 +56,6 @@
 
     def __init__(self, config: BreakerConfig = BreakerConfig()) -> None:
         self.state = BreakerState.CLOSED
-        self.opened_count = 0
         self._config = config
         self._tracker = WorkTracker()
         self._statistics = LatencyStatistics(config.window)
@@ -128,8 +127,6 @@
             return
         self.state = state
         self._refused_since_probe = 0
-        if state is BreakerState.OPEN:
-            self.opened_count += 1
 
     def _retry_after(self, now: float) -> float:
         # As the source says: as long as the longest call that goes on now.
--- a/marblefold/http_streams/target_streams.py
+++ b/marblefold/http_streams/target_streams.py
@@ -14,7 +14,6 @@
     """Hands out kept streams, newest first, and opens new ones when it must."""
 
     def __init__(self, address: Address, connect_seconds: float = 0.25) -> None:
-        self.opened = 0
         # When the target last gave any sign of life.
         self.heard_at = time.monotonic()
         self._address = address
@@ -51,7 +50,6 @@
             raise Breakdown(
                 "connect to target", str(error) or "no answer", str(self._address)
             ) from error
-        self.opened += 1
         self._note_heard()
         return stream
 
--- a/marblefold/proxy/program.py
+++ b/marblefold/proxy/program.py
@@ -55,7 +55,7 @@
             self._seed_registries,
             self.view, self._make_notice)
         self._membership = NodeMembership(watch, "proxy", PROXY, self._on_member)
-        nominator = Nominator(self.view, config.zone, config.region)
+        nominator = Nominator(self.view, config.zone)
         self.surroundings = Surroundings(
             self.view, nominator, config.bounds, config.limits)
         self._mates = MateBook(self)
--- a/marblefold/request_path/guard.py
+++ b/marblefold/request_path/guard.py
@@ -41,7 +41,6 @@
         self.cold = ColdLimit()
         self.slots = SlotQueue(1)
         self.work = RunningWork()
-        self.offered_count = 0
         self._target = target
         self._view = view
         self._bounds = bounds
@@ -131,7 +130,6 @@
             if not self.cold.may_offer(started, self._cold_most(head.upstream)):
                 return _refuse("cold", self.cold.retry_after(started))
             head.deadline_left_ms = max(1, int(left * 1000))
-            self.offered_count += 1
             self._offered[exchange] = started
             self.work.begin(run)
             exchange.is_repeatable = head.mapping_kind == wire_names.READ_ONLY
--- a/marblefold/request_path/local_target.py
+++ b/marblefold/request_path/local_target.py
@@ -87,12 +87,6 @@
         elif instance != self.instance and instance not in self._past_lives:
             self._remember(instance)
 
-    def replace_seen(self, instance: str) -> None:
-        """The target answered as another instance than the one we know."""
-        if instance != self.instance:
-            self._change_state(TargetState.GONE)
-            self._on_change()
-
     def note_cold(self, cold: timedelta, now: float) -> bool:
         """Takes in how much longer the target is cold; tells if that is news."""
         was_cold = self.cold_until > now
--- a/marblefold/request_path/nomination.py
+++ b/marblefold/request_path/nomination.py
@@ -46,10 +46,9 @@
 class Nominator:
     """Learns how targets fare and picks the one likely to answer first."""
 
-    def __init__(self, view: MeshView, zone: str, region: str, seed: int | None = None) -> None:
+    def __init__(self, view: MeshView, zone: str, seed: int | None = None) -> None:
         self._view = view
         self._zone = zone
-        self._region = region
         self._records: dict[str, _Record] = {}
         self._silent_until: dict[str, float] = {}
         self._random = random.Random(seed)
