--- /dev/null
+++ b/tests/mesh_on_loopback.py
@@ -0,0 +1,173 @@
+"""Three programs on loopback and stand-in targets, for tests of the whole."""
+
+import asyncio
+import itertools
+import json
+import types
+
+from marblefold.node_config.reading import parse_config
+from marblefold.proxy.program import ProxyProgram
+from marblefold.registry.program import RegistryProgram
+from marblefold.spec_store.program import StoreProgram
+
+CORE = "127.0.0.11"
+SIDES = ("127.0.0.21", "127.0.0.22")
+# Each mesh has ports of its own: the programs end with their process, so their
+# sockets stay while the tests run.
+FIRST_PORTS = itertools.count(27300, 20)
+BOUNDS = """
+bounds.contact-window-ms=3000
+bounds.ack-timeout-ms=4000
+bounds.drain-timeout-ms=2000
+bounds.grace-period-s=6
+bounds.loss-slack-ms=200
+bounds.spec-apply-ms=2000
+bounds.retry-budget-ratio=0.2
+bounds.retry-window-s=10
+bounds.retry-budget-slack=60
+bounds.cold-overage=1.5
+bounds.cold-slack=5
+bounds.evacuation-ms=5000
+limits.memory-mb=300
+limits.max-file-descriptors=4000
+beat-wakeup-ms=1500
+initial-start=true
+"""
+SPEC = {
+    "spec-number": 3,
+    "mapping-list": [
+        {"name": "read", "host-name": "shop", "path-prefix": "/read/", "mapping-kind": "read_only",
+         "time-limit-ms": 3000, "target-latency-ms": 1000, "attempt-limit": 2,
+         "upstream": "quotes"},
+        {"name": "book", "host-name": "shop", "path-prefix": "/book/", "mapping-kind": "mutating",
+         "time-limit-ms": 3000, "target-latency-ms": 1000, "attempt-limit": 2,
+         "upstream": "quotes"}],
+    "upstream-list": [{"name": "quotes", "health-check-path": "/health"}],
+    "limits": {},
+}
+
+
+class StandIn:
+    """A target that keeps to the published protocol."""
+
+    def __init__(self, host, port):
+        self.host, self.port, self.instance, self.ran = host, port, f"i-{host}", []
+        self.spoil = None
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, self.host, self.port)
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                lines = head.split("\r\n")
+                method, path, _version = lines[0].split(" ")
+                headers = dict(line.split(": ", 1) for line in lines[1:] if line)
+                body = await reader.readexactly(int(headers.get("Content-Length", 0)))
+                writer.write(self.answer(method, path, headers, body))
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    def answer(self, method, path, headers, body):
+        if path == "/health":
+            return (f"HTTP/1.1 200 OK\r\nInstance-Id: {self.instance}\r\nServer-Load: 0,0,4\r\n"
+                    "Content-Length: 0\r\n\r\n").encode()
+        if headers["Expected-Instance"] != self.instance:
+            return b"HTTP/1.1 421 no\r\nContent-Length: 0\r\n\r\n"
+        attempt = headers["Attempt-Id"]
+        if self.spoil == "refuse":
+            return b"HTTP/1.1 503 no\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+        self.ran.append((attempt, method, path, headers["Caller-Service"], body))
+        if self.spoil == "garble":
+            return b"this is no answer\r\n\r\n"
+        seal = b"" if self.spoil == "no seal" else b"Server-Seal: s\r\n"
+        return (f"HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nContent-Length: 4\r\n".encode()
+                + seal + b"\r\ndone")
+
+
+def make_watch(text):
+    config = parse_config(text)
+
+    async def run():
+        await asyncio.Event().wait()
+
+    return types.SimpleNamespace(config=config, listen=lambda _l: None, reread=None, run=run)
+
+
+def make_config(host, first, extra):
+    return (f"node-name=n-{host}\nzone=hall\nregion=here\nzones.hall=here\nip-address={host}\n"
+            f"internal-port-range={first + 5},{first + 12}\nseed-mates={CORE}:{first + 1}\n"
+            f"listen-addresses.control-plane={host}:{first + 1}\n{BOUNDS}{extra}")
+
+
+async def ask(host, port, method, path, headers=(), body=b""):
+    reader, writer = await asyncio.open_connection(host, port)
+    lines = [f"{method} {path} HTTP/1.1", "Host: shop", "Connection: close",
+             f"Content-Length: {len(body)}", *headers]
+    writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+    data = await reader.read()
+    writer.close()
+    head, _sign, rest = data.partition(b"\r\n\r\n")
+    return int(head.split(b" ")[1]), head, rest
+
+
+class Mesh:
+    """One core machine and two sidecars with their targets."""
+
+    def __init__(self, folder):
+        self.news = asyncio.Event()
+        first = next(FIRST_PORTS)
+        self.control, self.outbound, self.ready = first + 1, first + 2, first + 3
+        self.targets = [StandIn(host, first + 4) for host in SIDES]
+        core = make_config(CORE, first, f"data-directory={folder}/store\n")
+        self.store = StoreProgram(make_watch(core))
+        self.registry = RegistryProgram(make_watch(core))
+        self.proxies = [ProxyProgram(make_watch(make_config(host, first, (
+            f"listen-addresses.outbound={host}:{first + 2}\n"
+            f"listen-addresses.readiness={host}:{first + 3}\n"
+            f"app-address={host}:{first + 4}\nupstream=quotes\n")))) for host in SIDES]
+        for proxy in self.proxies:
+            self.watch(proxy.view)
+
+    def watch(self, view):
+        take = view.take
+
+        def note(entry):
+            try:
+                return take(entry)
+            finally:
+                self.news.set()
+
+        view.take = note
+
+    async def until(self, condition):
+        async with asyncio.timeout(20):
+            while not condition():
+                self.news.clear()
+                await self.news.wait()
+
+    async def start(self):
+        for target in self.targets:
+            await target.start()
+        loop = asyncio.get_running_loop()
+        self.tasks = [loop.create_task(program.run()) for program in (
+            self.store, self.registry, *self.proxies)]
+        # A program that listens shows it by taking a connection.
+        status, _head, _body = await self.put_spec(SPEC)
+        assert status == 200
+        await self.until(lambda: all(
+            proxy.view.table and len(proxy.view.targets("quotes")) == 2
+            for proxy in self.proxies))
+
+    async def put_spec(self, spec):
+        while True:
+            try:
+                return await ask(CORE, self.control, "PUT", "/mesh/spec", body=json.dumps(spec).encode())
+            except ConnectionError:
+                await asyncio.sleep(0)
+
+    async def stop(self):
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
--- a/tests/test_store_safety.py
+++ b/tests/test_store_safety.py
@@ -16,84 +16,8 @@
 from marblefold.spec_store.acceptor import VIEW_REGISTER, Acceptor, Standing
 from marblefold.spec_store.changes import change_view, hold_spec
 from marblefold.spec_store.mate_calls import answer_call
-from marblefold.spec_store.proposer import Proposer
 from marblefold.spec_store.view import read_view
-
-SEEDS = ["a:1", "b:1", "c:1"]
-ALL = SEEDS + ["d:1"]
-
-
-class MemoryRecords:
-    """A disk that keeps what was written, until it is wiped."""
-
-    def __init__(self):
-        self.records = {}
-
-    def load(self):
-        return dict(self.records)
-
-    def write(self, name, data):
-        self.records[name] = data
-
-
-class Network:
-    """Holds every message until the test delivers or loses it."""
-
-    def __init__(self):
-        self.waiting = []
-
-    async def send(self, deliver):
-        future = asyncio.get_running_loop().create_future()
-        self.waiting.append((deliver, future))
-        return await future
-
-
-class Store:
-    """One store of the simulated system."""
-
-    def __init__(self, system, address, is_first):
-        self.system = system
-        self.address = address
-        self.records = MemoryRecords()
-        self.starts = 0
-        self.acceptor = Acceptor(address, self.records, SEEDS, is_first)
-        self.restart_proposer()
-
-    def restart_proposer(self):
-        self.starts += 1
-        name = f"{self.address}/{self.acceptor.life}/{self.starts}"
-        self.proposer = Proposer(self, name, sleep=lambda _seconds: asyncio.sleep(0))
-
-    def lose_power(self):
-        self.acceptor = Acceptor(self.address, self.records, SEEDS, False)
-        self.restart_proposer()
-
-    def wipe(self):
-        self.records = MemoryRecords()
-        self.lose_power()
-
-    def current_view(self):
-        return self.acceptor.view
-
-    def learn_view(self, view):
-        self.acceptor.take_view(view)
-
-    async def call(self, mate, call):
-        copy = kinds.StoreCall.FromString(call.SerializeToString())
-        copy.sender = self.address
-        copy.sender_life = self.acceptor.life
-        store = self.system.stores[mate]
-        if mate == self.address:
-            return answer_call(self.acceptor, copy)
-
-        def deliver():
-            return answer_call(store.acceptor, copy)
-
-        deliver.mate = mate
-        answer = await self.system.network.send(deliver)
-        # The way back may be lost too, after the mate has acted.
-        return await self.system.network.send(lambda: answer)
-
+from tests.simulated_stores import ALL, SEEDS, MemoryRecords, Network, Store
 
 class StoreMachine(RuleBasedStateMachine):
     """Four machines, three of them in the first view."""
