Turn hops away from a proxy that is about to end

Its guard now takes only last resorts for 0.3 of the grace period; nomination puts busy before leaving.

--- a/marblefold/proxy/program.py
+++ b/marblefold/proxy/program.py
@@ -108,6 +108,7 @@
         """From now on mates should nominate other targets."""
         self.is_leaving = True
         self._notices.is_leaving = True
+        self.guard.begin_leaving(time.monotonic())
         self.follower.tell()
 
     @property
--- a/marblefold/request_path/guard.py
+++ b/marblefold/request_path/guard.py
@@ -26,6 +26,8 @@
 # A leaving target takes what has no other place to go for this part of its
 # drain time; the rest of that time is for what is then under way.
 _DRAIN_SHARE = 0.4
+# The same for a proxy that leaves, of its grace period.
+_LEAVING_SHARE = 0.3
 _LEAST_SECONDS = 0.003
 _REFUSED_RETRY_SECONDS = 0.1
 # Offered requests and not a byte for so long: look whether the target is there.
@@ -50,12 +52,17 @@
         # The hops that the target holds now, by when they were offered.
         self._offered: dict[Exchange, float] = {}
         self._unreachable_until = 0.0
+        self._leaving_since: float | None = None
 
     @property
     def in_progress(self) -> int:
         """How many hops are in this guard's hands."""
         return len(self._tasks)
 
+    def begin_leaving(self, now: float) -> None:
+        """The proxy is about to end: what is taken in must be over by then."""
+        self._leaving_since = now
+
     def set_address(self, address: Address) -> None:
         """The target's own address, known from the config."""
         if self._streams is not None:
@@ -164,6 +171,8 @@
             share = self._bounds.drain_time.total_seconds() * _DRAIN_SHARE
             if not head.last_resort or time.monotonic() - target.drain_since > share:
                 return _refuse("draining", 0.0)
+        elif self._is_too_late(head):
+            return _refuse("leaving", 0.0)
         elif target.state is not TargetState.READY:
             return _refuse(target.state.value, 0.0)
         if target.zone in self._view.evacuated:
@@ -174,6 +183,14 @@
         self.cold.cold_until = target.cold_until
         return None
 
+    def _is_too_late(self, head) -> bool:
+        if self._leaving_since is None:
+            return False
+        # Mates that know of nothing better are served a little longer; then
+        # the rest of the grace period is for what is under way.
+        share = self._bounds.grace_period.total_seconds() * _LEAVING_SHARE
+        return not head.last_resort or time.monotonic() - self._leaving_since > share
+
     def _find_limit(self, target: LocalTarget) -> int:
         """How many at once: each takes a slot, and a stream to the target."""
         table = self._view.table
--- a/marblefold/request_path/nomination.py
+++ b/marblefold/request_path/nomination.py
@@ -74,7 +74,9 @@
                 or now < record.refused_until
             )
             (resort if is_doubtful else preferred).append(target)
-        candidates = preferred or resort
+        # One that is busy is still better than one about to end.
+        staying = [target for target in resort if not is_last_resort(target)]
+        candidates = preferred or staying or resort
         if not candidates:
             return None
         surcharge = min(_MOST_ZONE_SURCHARGE, kilobytes * _ZONE_SURCHARGE_PER_KILOBYTE)
--- /dev/null
+++ b/tests/test_leaving.py
@@ -0,0 +1,49 @@
+"""A proxy about to end takes in nothing that it could not finish."""
+
+import types
+from datetime import timedelta
+
+from marblefold.inner_protocol.messages import kinds
+from marblefold.request_path import guard as guard_module
+from marblefold.request_path.guard import Guard
+from marblefold.request_path.local_target import Beat, LocalTarget
+from marblefold.request_path.mesh_view import KnownTarget, MeshView
+from marblefold.request_path.nomination import Nominator
+
+
+def test_a_leaving_guard_turns_hops_away_in_time(monkeypatch):
+    now = [100.0]
+    monkeypatch.setattr(
+        guard_module, "time", types.SimpleNamespace(monotonic=lambda: now[0]))
+    target = LocalTarget(lambda: None)
+    target.take_beat(Beat("i", "q", "a", "z", 4, False, timedelta(0), 1))
+    bounds = types.SimpleNamespace(
+        grace_period=timedelta(seconds=6), drain_time=timedelta(seconds=2))
+    guard = Guard(target, MeshView("n"), bounds)
+    guard._caller = object()
+
+    def refusal(last_resort):
+        head = kinds.RequestHead(
+            expected_instance="i", upstream="q", last_resort=last_resort)
+        answer = guard._find_refusal(head)
+        return answer.step if answer is not None else ""
+
+    assert refusal(False) == ""
+    guard.begin_leaving(100.0)
+    assert refusal(False) == "leaving" and refusal(True) == ""
+    now[0] = 102.0
+    assert refusal(True) == "leaving"
+
+
+def make_target(name, leaving):
+    return KnownTarget(name, name, "z", "r", "i-" + name, "q", 4, False, 0.0, leaving)
+
+
+def test_a_busy_target_goes_before_one_about_to_end():
+    view = MeshView("n")
+    view.targets = lambda upstream: [make_target("going", True), make_target("busy", False)]
+    nominator = Nominator(view, "z", seed=1)
+    nominator.note_refusal(make_target("busy", False), 10.0)
+    nominee = nominator.nominate("q", (), None, 1.0, 5.0)
+    assert nominee.target.node == "busy" and nominee.is_last_resort
+    assert nominator.nominate("q", ("i-busy",), None, 1.0, 5.0).target.node == "going"
