--- a/marblefold/command_line.py
+++ b/marblefold/command_line.py
@@ -1,4 +1,4 @@
-"""The command line of the three programs."""
+"""The command line of the programs and tools."""
 
 import asyncio
 import importlib
@@ -13,6 +13,7 @@
 
 # Each program is imported only when it is the one to run: starting is dear.
 _PROGRAMS = {
+    "gateway": ("marblefold.gateway.program", "GatewayProgram"),
     "proxy": ("marblefold.proxy.program", "ProxyProgram"),
     "registry": ("marblefold.registry.program", "RegistryProgram"),
     "store": ("marblefold.spec_store.program", "StoreProgram"),
@@ -24,6 +25,7 @@
 
 _PLANNER = "plan"
 _WINDOWS = "windows"
+_SITE_TOOLS = ("partners", "owners")
 
 
 def _usage() -> str:
@@ -31,6 +33,8 @@
         "usage: python3 -m marblefold PROGRAM [--check_settings] [--version] [--help]\n"
         "       python3 -m marblefold plan (--from_system=HOST:PORT | --current=FILE) ...\n"
         "       python3 -m marblefold windows --system=HOST:PORT list|set|withdraw|floors\n"
+        "       python3 -m marblefold partners --registry=HOST:PORT list|grant|withdraw|export\n"
+        "       python3 -m marblefold owners --registry=HOST:PORT list|set\n"
         f"PROGRAM is one of: {', '.join(sorted(_PROGRAMS))}\n"
         "The config file is named by MARBLEFOLD_NODE_FILE.\n"
     )
@@ -43,6 +47,8 @@
         from marblefold.planner.command import run_planner
     if _WINDOWS in arguments[1:]:
         from marblefold.maintenance.command import run_windows
+    if set(_SITE_TOOLS) & set(arguments[1:]):
+        from marblefold.site_command import run_owners, run_partners
     if "--help" in arguments or "-h" in arguments:
         print(_usage() + FLAGS.get_help())
         return 0
@@ -58,6 +64,10 @@
         return run_planner()
     if rest[1:2] == [_WINDOWS]:
         return run_windows(rest[2:])
+    if rest[1:2] == ["partners"]:
+        return run_partners(rest[2:])
+    if rest[1:2] == ["owners"]:
+        return run_owners(rest[2:])
     if len(rest) != 2 or rest[1] not in _PROGRAMS:
         print(_usage())
         return 2
--- /dev/null
+++ b/marblefold/gateway/partner_hops.py
@@ -0,0 +1,50 @@
+"""The far end of a partner route: where a request leaves for the partner.
+
+What was allowed when the request came in may not be any more.  The check is
+made again with the stream in hand, just before the first byte goes out.
+"""
+
+import time
+
+from marblefold.gateway.target_hops import TargetHops
+from marblefold.http_streams.downstream_request import DownstreamRequest
+from marblefold.partners.merging import partner_of
+from marblefold.request_path.hop_sender import Hops
+from marblefold.request_path.mesh_view import MeshView
+from marblefold.request_path.outcome import HopResult
+
+__all__ = ["PartnerHops"]
+
+
+class PartnerHops:
+    """Sends hops to partners by one way, and all others by the usual one."""
+
+    def __init__(self, usual: Hops, to_partners: TargetHops, view: MeshView) -> None:
+        self._usual = usual
+        self._to_partners = to_partners
+        self._view = view
+
+    async def send(
+        self, mate: str, head, request: DownstreamRequest, body_bound: int, seconds: float,
+    ) -> HopResult:
+        """The hop's end; it raises only BodyTooLarge and a lost downstream."""
+        partner = partner_of(head.upstream)
+        if not partner:
+            return await self._usual.send(mate, head, request, body_bound, seconds)
+        # A partner knows nothing of our instances.
+        head.expected_instance = ""
+
+        def may_send() -> bool:
+            return self.may_leave(partner, mate, request, time.monotonic())
+
+        return await self._to_partners.send(
+            mate, head, request, body_bound, seconds, may_send)
+
+    def may_leave(
+        self, partner: str, mate: str, request: DownstreamRequest, now: float,
+    ) -> bool:
+        """Whether the partner's word allows the request at this moment."""
+        mapping = self._view.find_partner_mapping(request.host, request.path, now)
+        if mapping is None or partner_of(mapping.upstreams[0]) != partner:
+            return False
+        return self._view.partners.addresses.get(partner) == mate
--- /dev/null
+++ b/marblefold/gateway/program.py
@@ -0,0 +1,124 @@
+"""The gateway: a front door for downstreams, straight to the targets."""
+
+import asyncio
+import signal
+from datetime import timedelta
+
+from marblefold import wire_names
+from marblefold.gateway.partner_hops import PartnerHops
+from marblefold.gateway.target_hops import TargetHops
+from marblefold.gateway.target_pool import TargetPool
+from marblefold.http_streams.answer import Answer
+from marblefold.http_streams.call_router import Call, CallRouter, json_answer
+from marblefold.http_streams.downstream_server import DownstreamServer
+from marblefold.inner_protocol.ports import GATEWAY_FOLLOWS, REGISTRY, inner_address
+from marblefold.logs import log
+from marblefold.node_config.reading import NodeConfig
+from marblefold.node_config.watching import ConfigWatch
+from marblefold.operator_spec.mapping_table import MappingTable
+from marblefold.proxy.leaving import leave_in_order
+from marblefold.proxy.registry_follower import RegistryFollower
+from marblefold.proxy.term_asker import TermAsker
+from marblefold.request_path.executor import RequestExecutor
+from marblefold.request_path.mesh_view import MeshView
+from marblefold.request_path.nomination import Nominator
+from marblefold.request_path.running_work import RunningWork
+from marblefold.request_path.surroundings import Surroundings
+from marblefold.task_keeper import TaskKeeper
+
+__all__ = ["GatewayProgram"]
+
+_OVERDUE_LOOK = timedelta(seconds=10)
+# The platform keeps some descriptors for files; listeners, registries and the
+# loop take a few more.
+_KEPT_FOR_FILES = 200
+_KEPT_FOR_OURSELVES = 14
+_TARGET_SHARE = 0.45
+
+
+class GatewayProgram:
+    """Puts the parts of a gateway together and runs them."""
+
+    def __init__(self, watch: ConfigWatch) -> None:
+        config = watch.config
+        self._watch = watch
+        self._config = config
+        self.is_leaving = False
+        self.view = MeshView(config.node_name)
+        # Few streams: news of one registry is enough, another stands by.
+        self.follower = RegistryFollower(
+            config.node_name, self._seed_registries, self.view, most=GATEWAY_FOLLOWS,
+            asker=TermAsker(config.node_name, self.view))
+        nominator = Nominator(self.view, config.zone, subset_of=config.node_name)
+        free = config.limits.file_descriptors - _KEPT_FOR_FILES - _KEPT_FOR_OURSELVES
+        for_targets = max(4, int(free * _TARGET_SHARE))
+        self.surroundings = Surroundings(self.view, nominator, config.bounds, config.limits)
+        self.pool = TargetPool(for_targets, self._addresses)
+        hops = TargetHops(self.pool)
+        self.executor = RequestExecutor(
+            self.surroundings, PartnerHops(hops, hops, self.view), RunningWork(), "")
+        self.outbound = DownstreamServer(self.executor.serve, max(4, free - for_targets))
+        ready = CallRouter()
+        ready.add(*wire_names.READINESS_CALL, self._readiness)
+        self._readiness_server = DownstreamServer(ready.handle)
+        self.view.on_spec = self._on_spec
+        self._stop = asyncio.Event()
+        self._tasks = TaskKeeper()
+
+    async def run(self) -> None:
+        """Serves until a SIGTERM has been obeyed."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._watch.reread)
+        self._watch.listen(self._on_config)
+        listen = self._config.listen
+        await self._readiness_server.start(listen["readiness"])
+        await self.outbound.start(listen["front-http"])
+        log.info("serving", node=self._config.node_name, front=str(listen["front-http"]))
+        for run in (
+            self._watch.run(), self.follower.run(), self.outbound.run(),
+            self._readiness_server.run(), self.pool.run(), self._look_for_overdue(),
+        ):
+            self._tasks.start(run)
+        await self._stop.wait()
+        await leave_in_order(self)
+        self._tasks.cancel()
+
+    def tell_leaving(self) -> None:
+        """From now on the platform should send downstreams elsewhere."""
+        self.is_leaving = True
+
+    @property
+    def hops_in_progress(self) -> int:
+        """A gateway takes no hops of mates."""
+        return 0
+
+    @property
+    def grace_period(self) -> timedelta:
+        """How long the platform lets us take to leave."""
+        return self._config.bounds.grace_period
+
+    async def _readiness(self, _call: Call) -> Answer:
+        # Ready means: a downstream that comes now can be served as it should.
+        # Pressure has no say: a full gateway refuses, it does not flap.
+        is_ready = not self.is_leaving and self.view.table is not None and self.view.mates()
+        return json_answer(200 if is_ready else 503, {"ready": bool(is_ready)})
+
+    def _seed_registries(self) -> list[str]:
+        config = self._watch.config
+        return [inner_address(seed.host, config, REGISTRY) for seed in config.seeds]
+
+    def _addresses(self) -> set[str]:
+        partners = self.view.partners
+        return self.view.mates() | set(partners.addresses.values() if partners else ())
+
+    def _on_spec(self, table: MappingTable) -> None:
+        self.outbound.set_limits(table.limits)
+
+    def _on_config(self, config: NodeConfig) -> None:
+        self._config = config
+
+    async def _look_for_overdue(self) -> None:
+        while True:
+            await asyncio.sleep(_OVERDUE_LOOK.total_seconds())
+            self.surroundings.log_overdue(_OVERDUE_LOOK)
--- a/marblefold/http_streams/call_router.py
+++ b/marblefold/http_streams/call_router.py
@@ -7,6 +7,7 @@
 from marblefold import wire_names
 from marblefold.http_streams.answer import Answer
 from marblefold.http_streams.downstream_request import BodyTooLarge, DownstreamRequest
+from marblefold.http_streams.heads import find_header
 
 __all__ = ["Call", "CallRouter", "json_answer"]
 
@@ -16,6 +17,8 @@
 
     subject: str
     body: bytes
+    # What the caller shows to prove who it is.
+    credential: str = ""
 
 
 Serve = Callable[[Call], Awaitable[Answer]]
@@ -65,7 +68,9 @@
             return json_answer(413, document)._replace(closes=True)
         except ConnectionError:
             return json_answer(400, {wire_names.REASON: "the body broke off"})
-        return await route.serve(Call(subject, body))
+        told = find_header(request.headers, b"Authorization") or b""
+        credential = told.decode("latin-1").removeprefix("Bearer ")
+        return await route.serve(Call(subject, body, credential))
 
     def _find(self, path: str) -> tuple[dict[str, _Route] | None, str]:
         methods = self._routes.get(path)
--- a/marblefold/http_streams/downstream_server.py
+++ b/marblefold/http_streams/downstream_server.py
@@ -9,6 +9,7 @@
 from marblefold.http_streams.downstream_request import DownstreamRequest
 from marblefold.http_streams.downstream_stream import DownstreamStream
 from marblefold.node_config.reading import Address
+from marblefold.operator_spec.rows import Limits
 
 __all__ = ["DownstreamServer"]
 
@@ -19,7 +20,10 @@
 class DownstreamServer:
     """One listening address and the streams accepted at it."""
 
-    def __init__(self, handle: Callable[[DownstreamRequest], Awaitable[Answer]]) -> None:
+    def __init__(
+        self, handle: Callable[[DownstreamRequest], Awaitable[Answer]],
+        most_streams: int | None = None,
+    ) -> None:
         self.is_leaving = False
         self.header_bytes = 16384
         self.idle_time = timedelta(seconds=15)
@@ -27,6 +31,7 @@
         self.last_arrival = time.monotonic()
         self.in_progress = 0
         self._handle = handle
+        self._most_streams = most_streams
         self._streams: set[DownstreamStream] = set()
         self._server: asyncio.Server | None = None
 
@@ -49,6 +54,8 @@
     def on_made(self, stream: DownstreamStream) -> None:
         """A downstream has come."""
         self._streams.add(stream)
+        if self._most_streams is not None and len(self._streams) > self._most_streams:
+            self._make_room(stream)
 
     def on_lost(self, stream: DownstreamStream) -> None:
         """A downstream has gone."""
@@ -59,6 +66,24 @@
         for stream in list(self._streams):
             stream.close_if_idle()
 
+    def set_limits(self, limits: Limits) -> None:
+        """What the operator's spec allows downstreams."""
+        self.header_bytes = limits.header_bytes
+        self.header_time = limits.header_time
+        self.idle_time = limits.idle_time
+
+    def _make_room(self, newcomer: DownstreamStream) -> None:
+        """Streams to targets must never starve of descriptors."""
+        idle = [
+            stream for stream in self._streams
+            if stream is not newcomer and stream.is_idle and stream.head_since is None]
+        # What was not read is sent again by any downstream, so where nobody
+        # rests the newcomer itself is turned away before it is read.
+        if idle:
+            min(idle, key=lambda stream: stream.quiet_since).close_if_idle()
+        else:
+            newcomer.turn_away()
+
     def stop(self) -> None:
         """Listens no longer."""
         if self._server is not None:
--- a/marblefold/http_streams/downstream_stream.py
+++ b/marblefold/http_streams/downstream_stream.py
@@ -125,6 +125,11 @@
         self._close()
         return True
 
+    def turn_away(self) -> None:
+        """Ends the stream before anything was read from it."""
+        self._is_closing = True
+        self.transport.abort()
+
     def _close(self) -> None:
         self._is_closing = True
         if self.transport is not None:
--- a/marblefold/http_streams/target_stream.py
+++ b/marblefold/http_streams/target_stream.py
@@ -58,6 +58,11 @@
         )
         self.state = StreamState.IDLE
         self.usable_until = time.monotonic() + 1.0
+        # Since when nothing went over it.
+        self.rested_since = time.monotonic()
+        # How long it had rested when the request under way was sent.
+        self.rest_before = 0.0
+        self.has_answered = False
         self._attempt_id: bytes | None = None
         self._waiter: asyncio.Future[TargetAnswer] | None = None
         self._payload = None
@@ -74,6 +79,8 @@
     async def begin(self, head: bytes, attempt_id: bytes | None) -> None:
         """Sends the head of a request, perhaps with its body behind it."""
         self.change_state(StreamState.BUSY)
+        self.rest_before = time.monotonic() - self.rested_since
+        self.has_answered = False
         self._attempt_id = attempt_id
         self._waiter = self._loop.create_future()
         self.transport.write(head)
@@ -96,6 +103,7 @@
         """The answer was read whole; tells whether the stream may be kept."""
         self._waiter = None
         self._payload = None
+        self.rested_since = time.monotonic()
         if self.state is StreamState.BUSY and time.monotonic() < self.usable_until:
             self.change_state(StreamState.IDLE)
             return True
@@ -110,6 +118,7 @@
 
     def data_received(self, data: bytes) -> None:
         self._on_heard()
+        self.has_answered = True
         try:
             messages, _upgraded, _tail = self._parser.feed_data(data)
         except (HttpProcessingError, ValueError) as error:
--- a/marblefold/inner_protocol/ports.py
+++ b/marblefold/inner_protocol/ports.py
@@ -2,7 +2,10 @@
 
 from marblefold.node_config.reading import NodeConfig
 
-__all__ = ["PROXY", "REGISTRY", "STORE", "inner_address"]
+__all__ = ["GATEWAY_FOLLOWS", "PROXY", "REGISTRY", "STORE", "inner_address"]
+
+# How many registries a gateway follows at once.
+GATEWAY_FOLLOWS = 2
 
 PROXY = 0
 REGISTRY = 1
--- a/marblefold/node_config/reading.py
+++ b/marblefold/node_config/reading.py
@@ -11,7 +11,7 @@
 from marblefold import wire_names
 from marblefold.breakdowns import Breakdown
 
-__all__ = ["Address", "Bounds", "Limits", "NodeConfig", "read_config", "parse_config"]
+__all__ = ["Address", "Bounds", "Cloud", "Limits", "NodeConfig", "read_config", "parse_config"]
 
 
 class Address(NamedTuple):
@@ -58,6 +58,13 @@
     file_descriptors: int
 
 
+class Cloud(NamedTuple):
+    """Where the platform keeps its list of targets, if it does."""
+
+    address: Address
+    rate_per_second: float
+
+
 class NodeConfig(NamedTuple):
     """All that a process is told when it starts."""
 
@@ -77,6 +84,10 @@
     data_directory: str
     app_address: Address | None
     upstream: str
+    cloud: Cloud | None = None
+    # The site that this node belongs to, and the registry that claims for it.
+    site: str = ""
+    site_agent: str = ""
 
 
 def _milliseconds(text: str) -> timedelta:
@@ -175,6 +186,13 @@
     )
 
 
+def _read_cloud(lines: _Lines) -> Cloud | None:
+    address = lines.get("cloud-api.address", Address.parse, "")
+    if not address:
+        return None
+    return Cloud(address, lines.get("cloud-api.rate-per-s", _positive, 10.0))
+
+
 def parse_config(text: str) -> NodeConfig:
     """The checked config of a node, or a Breakdown that names the bad field."""
     lines = _Lines(text)
@@ -201,6 +219,9 @@
         data_directory=lines.get("data-directory", _word, ""),
         app_address=lines.get("app-address", Address.parse, ""),
         upstream=lines.get("upstream", _word, ""),
+        cloud=_read_cloud(lines),
+        site=lines.get("site-name", _word, ""),
+        site_agent=lines.get("site-agent", lambda text: str(Address.parse(text)), ""),
     )
 
 
--- /dev/null
+++ b/marblefold/ownership/calls.py
@@ -0,0 +1,101 @@
+"""The administration calls for owners: the operator's word, and who owns what."""
+
+import json
+from typing import Callable, NamedTuple
+
+from marblefold import wire_names
+from marblefold.breakdowns import Breakdown
+from marblefold.http_streams.answer import Answer
+from marblefold.http_streams.call_router import Call, CallRouter, json_answer
+from marblefold.logs import log
+from marblefold.ownership.agent import OWNERS_REGISTER
+from marblefold.ownership.claims import Owner, find_clashes, read_owners_word
+from marblefold.partners.duty import Words
+
+__all__ = ["Claimed", "OwnerCalls"]
+
+_LARGEST_WORD = 1024 * 1024
+_RETRY_SECONDS = 0.2
+
+
+class Claimed(NamedTuple):
+    """What this registry hears of owners and claimants."""
+
+    claimants: dict[str, set[tuple[str, str]]]
+    owners: dict[str, Owner]
+
+
+class OwnerCalls:
+    """Checks the operator's word, has it held, and shows clashes."""
+
+    def __init__(self, words: Words, claimed: Callable[[], Claimed]) -> None:
+        self._words = words
+        self._claimed = claimed
+
+    def add_to(self, router: CallRouter) -> None:
+        """Serves these calls at the router."""
+        router.add("GET", wire_names.OWNERS_PATH, self._show)
+        router.add("PUT", wire_names.OWNERS_PATH, self._set, _LARGEST_WORD)
+
+    async def _show(self, _call: Call) -> Answer:
+        try:
+            held = await self._words.ask("describe", OWNERS_REGISTER)
+        except Breakdown as breakdown:
+            return _not_now(breakdown)
+        claimed = self._claimed()
+        clashes = find_clashes(claimed.claimants, claimed.owners)
+        services = {}
+        for upstream, sites in read_owners_word(held.value).items():
+            owner = claimed.owners.get(upstream, Owner.read(b""))
+            services[upstream] = {
+                "sites": list(sites), "owner": owner.site, "agent": owner.agent,
+                "epoch": owner.epoch, "clash-with": clashes.get(upstream, [])}
+        return json_answer(200, {"number": held.number, "services": services})
+
+    async def _set(self, call: Call) -> Answer:
+        try:
+            number, services = read_owners_body(call.body)
+        except ExceptionGroup as group:
+            return json_answer(
+                400, {wire_names.REASON: [fault.reason for fault in group.exceptions]})
+        value = json.dumps({"services": services}, sort_keys=True).encode()
+        try:
+            held = await self._words.ask("spec", OWNERS_REGISTER, number, value)
+        except Breakdown as breakdown:
+            return _not_now(breakdown)
+        if held.value != value or held.number != number:
+            return json_answer(409, {
+                wire_names.REASON: f"number: {number} is not above {held.number}, which holds",
+                "number": held.number})
+        log.info("owners held", number=number, services=sorted(services))
+        return json_answer(200, {"number": number})
+
+
+def read_owners_body(body: bytes) -> tuple[int, dict[str, list[str]]]:
+    """The number and the sites of each service; an ExceptionGroup of all faults."""
+    try:
+        document = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        raise ExceptionGroup("owners", [Breakdown("read", f"body: {error}")]) from error
+    faults = []
+    number = document.get("number") if isinstance(document, dict) else None
+    if isinstance(number, bool) or not isinstance(number, int) or number < 1:
+        faults.append("number: not a whole number above zero")
+    services = document.get("services") if isinstance(document, dict) else None
+    if not isinstance(services, dict):
+        faults.append("services: not an object")
+        services = {}
+    for upstream, sites in services.items():
+        is_list = isinstance(sites, list) and all(
+            isinstance(site, str) and site for site in sites)
+        if not is_list or not sites:
+            faults.append(f"services.{upstream}: not a list of names of sites")
+        elif len(set(sites)) != len(sites):
+            faults.append(f"services.{upstream}: a site stands twice")
+    if faults:
+        raise ExceptionGroup("owners", [Breakdown("check", line) for line in faults])
+    return number, services
+
+
+def _not_now(breakdown: Breakdown) -> Answer:
+    return json_answer(503, {wire_names.REASON: str(breakdown)}, _RETRY_SECONDS)
--- /dev/null
+++ b/marblefold/partners/document.py
@@ -0,0 +1,121 @@
+"""The partners' document, and the one function for each change of it.
+
+All partners stand in one register: a clash between two of them is found under
+the same fence that holds the change.
+"""
+
+import json
+from typing import NamedTuple
+
+from marblefold.partners.words import Exports, Grant
+
+__all__ = [
+    "Document", "Refused", "grant_partner", "lapse", "put_exports", "withdraw_partner"]
+
+
+class Refused(Exception):
+    """The word cannot hold, with the status and what to tell."""
+
+    def __init__(self, status: int, reason: object, number: int | None = None) -> None:
+        super().__init__(str(reason))
+        self.status = status
+        self.reason = reason
+        # The number that holds, where a lower one came.
+        self.number = number
+
+
+class Document(NamedTuple):
+    """Every partner under its name, as plain values."""
+
+    partners: dict[str, dict]
+
+    def pack(self) -> bytes:
+        """The document as bytes; the same document gives the same bytes."""
+        return json.dumps({"partners": self.partners}, sort_keys=True).encode()
+
+    @classmethod
+    def read(cls, data: bytes) -> "Document":
+        """The document in the bytes; nothing gives an empty one."""
+        return cls(json.loads(data)["partners"] if data else {})
+
+    def with_partner(self, name: str, partner: dict) -> "Document":
+        """The document with this partner as it is now."""
+        return Document({**self.partners, name: partner})
+
+
+def grant_partner(document: Document, name: str, grant: Grant) -> Document:
+    """The operator's word: who the partner is and what it may speak for."""
+    held = document.partners.get(name)
+    _check_number(held, "number", grant.number)
+    # What it exported before must be read again under the new grant.
+    return document.with_partner(name, {
+        "number": grant.number, "hosts": list(grant.hosts), "address": grant.address,
+        "credential": grant.credential, "lapse-after-s": grant.lapse_after_s,
+        "withdrawn": False, "lapsed": False, "reads": 0,
+        "exports-number": held["exports-number"] if held else 0, "exports": [],
+    })
+
+
+def withdraw_partner(document: Document, name: str) -> Document:
+    """The operator's word: it is no partner any more."""
+    held = _find(document, name)
+    return document.with_partner(name, {**held, "withdrawn": True, "exports": []})
+
+
+def put_exports(document: Document, name: str, word: Exports) -> Document:
+    """The partner's word, or the same word read again."""
+    held = _find(document, name)
+    if held["withdrawn"]:
+        raise Refused(403, f"partner {name} is withdrawn")
+    rows = [{
+        "host": export.host, "prefix": export.prefix, "kind": export.kind,
+        "time-limit-ms": export.time_limit_ms, "latency-ms": export.latency_ms,
+    } for export in word.exports]
+    is_same = word.number == held["exports-number"] and rows == held["exports"]
+    if not is_same:
+        _check_number(held, "exports-number", word.number)
+    faults = [
+        f"exports[{index}].host: {row['host']!r} is not granted to {name}"
+        for index, row in enumerate(rows) if row["host"] not in held["hosts"]]
+    for index, row in enumerate(rows):
+        other = _find_exporter(document, name, row)
+        if other:
+            faults.append(f"exports[{index}].prefix: {other} exports the same host and prefix")
+    if faults:
+        raise Refused(409 if "same host" in faults[0] else 400, faults)
+    return document.with_partner(name, {
+        **held, "exports-number": word.number, "exports": rows, "lapsed": False,
+        "reads": held["reads"] + 1})
+
+
+def lapse(document: Document, name: str, reads: int) -> Document:
+    """The partner has not said its word again for too long."""
+    held = document.partners.get(name)
+    # It may have spoken since whoever judges it looked.
+    if held is None or held["reads"] != reads or held["lapsed"]:
+        return document
+    return document.with_partner(name, {**held, "lapsed": True})
+
+
+def _find(document: Document, name: str) -> dict:
+    held = document.partners.get(name)
+    if held is None:
+        raise Refused(404, f"no partner {name!r}")
+    return held
+
+
+def _check_number(held: dict | None, field: str, number: int) -> None:
+    if held is not None and number <= held[field]:
+        raise Refused(
+            409, f"{field}: {number} is not above {held[field]}, which holds", held[field])
+
+
+def _find_exporter(document: Document, name: str, row: dict) -> str:
+    for other, partner in document.partners.items():
+        if other == name or partner["withdrawn"]:
+            continue
+        # A lapsed one may come back with its word: its places stay its own.
+        if any((held["host"], held["prefix"]) == (row["host"], row["prefix"])
+               for held in partner["exports"]):
+            return other
+    return ""
--- /dev/null
+++ b/marblefold/partners/words.py
@@ -0,0 +1,156 @@
+"""The words of operators and partners, read and checked."""
+
+import json
+from datetime import timedelta
+
+import attrs
+import cattrs
+from cattrs.gen import make_dict_structure_fn, override
+
+from marblefold import wire_names
+from marblefold.breakdowns import Breakdown
+from marblefold.node_config.reading import Address
+
+__all__ = ["Export", "Exports", "Grant", "is_credential", "read_exports", "read_grant"]
+
+_KINDS = (wire_names.READ_ONLY, wire_names.MUTATING, wire_names.UPLOAD)
+_LONGEST_TIME = timedelta(minutes=10)
+_LONGEST_LAPSE = timedelta(days=1)
+
+
+@attrs.frozen(slots=True)
+class Grant:
+    """What the operator lets a partner speak for."""
+
+    number: int
+    hosts: tuple[str, ...]
+    address: str
+    credential: str
+    lapse_after_s: float = 60.0
+
+
+@attrs.frozen(slots=True)
+class Export:
+    """One service of a partner that may be reached from outside."""
+
+    host: str
+    prefix: str
+    kind: str
+    time_limit_ms: float = 10000.0
+    latency_ms: float = 1000.0
+
+
+@attrs.frozen(slots=True)
+class Exports:
+    """All that a partner exports; whatever is not listed is private."""
+
+    number: int
+    exports: tuple[Export, ...]
+
+
+def _strict(kind: type):
+    def structure(value, _kind):
+        # A text that looks like a number, or a truth, is a mistake.
+        if isinstance(value, bool) or not isinstance(value, kind):
+            raise ValueError(f"not of the right kind: {value!r}")
+        if not isinstance(value, str) and not 0 <= value < 1e15:
+            raise ValueError(f"out of range: {value!r}")
+        return value
+    return structure
+
+
+def _make_converter() -> cattrs.Converter:
+    converter = cattrs.Converter(detailed_validation=True)
+    converter.register_structure_hook(str, _strict(str))
+    converter.register_structure_hook(int, _strict(int))
+    converter.register_structure_hook(float, _strict((int, float)))
+    for kind in (Export, Exports, Grant):
+        names = {
+            field.name: override(rename=field.name.replace("_", "-"))
+            for field in kind.__attrs_attrs__}
+        converter.register_structure_hook(kind, make_dict_structure_fn(
+            kind, converter, _cattrs_forbid_extra_keys=True, **names))
+    return converter
+
+
+_converter = _make_converter()
+
+
+def read_grant(body: bytes) -> Grant:
+    """The operator's word on a partner, or all its faults."""
+    grant = _read(body, Grant)
+    faults = []
+    if not grant.hosts or any(not host for host in grant.hosts):
+        faults.append("hosts: none, or an empty one")
+    if len(grant.credential) < 16:
+        faults.append("credential: shorter than 16 signs")
+    if not 1 <= grant.lapse_after_s <= _LONGEST_LAPSE.total_seconds():
+        faults.append("lapse-after-s: not from a second to a day")
+    try:
+        Address.parse(grant.address)
+    except ValueError as error:
+        faults.append(f"address: {error}")
+    _raise(faults)
+    return attrs.evolve(
+        grant, hosts=tuple(sorted({host.lower() for host in grant.hosts})),
+        credential=_digest(grant.credential))
+
+
+def read_exports(body: bytes) -> Exports:
+    """A partner's word on what it exports, or all its faults."""
+    word = _read(body, Exports)
+    faults, places = [], set()
+    for index, export in enumerate(word.exports):
+        place = f"exports[{index}]"
+        if not export.prefix.startswith("/") or not export.prefix.endswith("/"):
+            faults.append(f"{place}.prefix: does not begin and end with a slash")
+        if export.kind not in _KINDS:
+            faults.append(f"{place}.kind: none of {', '.join(_KINDS)}")
+        if not 0 < export.time_limit_ms <= _LONGEST_TIME / timedelta(milliseconds=1):
+            faults.append(f"{place}.time-limit-ms: not within ten minutes")
+        key = (export.host.lower(), export.prefix)
+        if key in places:
+            faults.append(f"{place}: the same host and prefix stand twice")
+        places.add(key)
+    _raise(faults)
+    return attrs.evolve(word, exports=tuple(
+        attrs.evolve(export, host=export.host.lower()) for export in word.exports))
+
+
+def is_credential(told: str, held_digest: str) -> bool:
+    """Whether the credential is the one granted; takes the same time either way."""
+    import hmac
+
+    return hmac.compare_digest(_digest(told), held_digest)
+
+
+def _digest(credential: str) -> str:
+    # Only who has a partner pays for this library.
+    import hashlib
+
+    return hashlib.sha256(credential.encode("utf-8", "replace")).hexdigest()
+
+
+def _read(body: bytes, kind: type):
+    try:
+        document = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        raise ExceptionGroup("word", [Breakdown("read word", f"body: {error}")]) from error
+    if not isinstance(document, dict):
+        raise ExceptionGroup("word", [Breakdown("read word", "body: not an object")])
+    try:
+        return _converter.structure(document, kind)
+    except cattrs.BaseValidationError as error:
+        lines = []
+        for line in cattrs.transform_error(error):
+            fault, _sign, place = line.partition(" @ ")
+            # The fault may repeat a value, and a credential is never shown.
+            shown = "bad value" if "credential" in place else fault
+            lines.append(f"{place.removeprefix('$.').replace('_', '-')}: {shown}")
+        raise ExceptionGroup(
+            "word", [Breakdown("read word", line) for line in lines]) from None
+
+
+def _raise(faults: list[str]) -> None:
+    if faults:
+        raise ExceptionGroup("word", [Breakdown("check word", line) for line in faults])
--- a/marblefold/proxy/leaving.py
+++ b/marblefold/proxy/leaving.py
@@ -7,7 +7,6 @@
 
 from marblefold.http_streams.downstream_server import DownstreamServer
 from marblefold.logs import log
-from marblefold.request_path.guard import Guard
 
 __all__ = ["Leaver", "leave_in_order"]
 
@@ -23,8 +22,8 @@
     """What has to be stopped in order."""
 
     outbound: DownstreamServer
-    guard: Guard
     grace_period: timedelta
+    hops_in_progress: int
 
     def tell_leaving(self) -> None: ...
 
@@ -32,7 +31,7 @@
 async def leave_in_order(program: Leaver) -> None:
     """Returns when the process may end."""
     began = time.monotonic()
-    log.info("leaving", in_progress=program.outbound.in_progress, hops=program.guard.in_progress)
+    log.info("leaving", in_progress=program.outbound.in_progress, hops=program.hops_in_progress)
     program.tell_leaving()
     # Answers from here on end their streams, but requests are still taken:
     # downstreams come until the platform has missed our readiness twice.
@@ -43,7 +42,7 @@
         is_quiet = now - program.outbound.last_arrival > _QUIET.total_seconds()
         if is_noticed and is_quiet:
             program.outbound.close_idle()
-            if not program.outbound.in_progress and not program.guard.in_progress:
+            if not program.outbound.in_progress and not program.hops_in_progress:
                 break
         await asyncio.sleep(_LOOK_EVERY)
     program.outbound.stop()
--- a/marblefold/proxy/notices.py
+++ b/marblefold/proxy/notices.py
@@ -38,6 +38,8 @@
             state=target.state.value,
             cold_left_ms=max(0, int((target.cold_until - time.monotonic()) * 1000)),
             leaving=self.is_leaving,
+            site=config.site,
+            site_agent=config.site_agent,
         )
 
     def outbid(self, life: int) -> bool:
--- a/marblefold/proxy/program.py
+++ b/marblefold/proxy/program.py
@@ -25,6 +25,7 @@
 from marblefold.proxy.leaving import leave_in_order
 from marblefold.proxy.notices import NoticeMaker
 from marblefold.proxy.registry_follower import RegistryFollower
+from marblefold.proxy.term_asker import TermAsker
 from marblefold.request_path.executor import RequestExecutor
 from marblefold.request_path.guard import Guard
 from marblefold.request_path.hop_sender import HopSender
@@ -32,10 +33,12 @@
 from marblefold.request_path.mesh_view import MeshView
 from marblefold.request_path.nomination import Nominator
 from marblefold.request_path.surroundings import Surroundings
+from marblefold.task_keeper import TaskKeeper
 
 __all__ = ["ProxyProgram"]
 
 _OVERDUE_LOOK = timedelta(seconds=10)
+_PARTNER_DESCRIPTORS = 64
 
 
 class ProxyProgram:
@@ -53,7 +56,8 @@
         self.follower = RegistryFollower(
             config.node_name,
             self._seed_registries,
-            self.view, self._make_notice)
+            self.view, self._make_notice,
+            asker=TermAsker(config.node_name, self.view, config.site, config.site_agent))
         self._membership = NodeMembership(watch, "proxy", PROXY, self._on_member)
         nominator = Nominator(self.view, config.zone)
         self.surroundings = Surroundings(
@@ -63,6 +67,7 @@
             self._mates, lambda mate: nominator.note_silent(mate, time.monotonic()))
         self.executor = RequestExecutor(
             self.surroundings, self._hops, self.guard.work, config.upstream)
+        self.view.on_partners = self._open_partner_door
         self.outbound = DownstreamServer(self.executor.serve)
         calls, ready = CallRouter(), CallRouter()
         BeatCalls(self.target, config.zone).add_to(calls)
@@ -73,7 +78,7 @@
         self.view.on_spec = self._on_spec
         self.view.on_evacuation = self._on_evacuation
         self._stop = asyncio.Event()
-        self._tasks: set[asyncio.Task] = set()
+        self._tasks = TaskKeeper()
 
     async def run(self) -> None:
         """Serves until a SIGTERM has been obeyed."""
@@ -98,11 +103,10 @@
             self._control.run(), self._readiness_server.run(),
             self._hops.run(), self.guard.run(), self._find_target(), self._look_for_overdue(),
         ):
-            self._start(run)
+            self._tasks.start(run)
         await self._stop.wait()
         await leave_in_order(self)
-        for task in self._tasks:
-            task.cancel()
+        self._tasks.cancel()
 
     def tell_leaving(self) -> None:
         """From now on mates should nominate other targets."""
@@ -111,6 +115,11 @@
         self.guard.begin_leaving(time.monotonic())
         self.follower.tell()
 
+    @property
+    def hops_in_progress(self) -> int:
+        """How many hops of mates the guard has in hand."""
+        return self.guard.in_progress
+
     @property
     def grace_period(self) -> timedelta:
         """How long the platform lets us take to leave."""
@@ -174,10 +183,18 @@
             self.follower.tell()
 
     def _on_spec(self, table: MappingTable) -> None:
-        limits = table.limits
-        self.outbound.header_bytes = limits.header_bytes
-        self.outbound.header_time = limits.header_time
-        self.outbound.idle_time = limits.idle_time
+        self.outbound.set_limits(table.limits)
+
+    def _open_partner_door(self) -> None:
+        """The first partner is known: hops to partners get a way of their own."""
+        # Nothing else in a proxy needs these.
+        from marblefold.gateway.partner_hops import PartnerHops
+        from marblefold.gateway.target_hops import TargetHops
+        from marblefold.gateway.target_pool import TargetPool
+
+        pool = TargetPool(_PARTNER_DESCRIPTORS, lambda: set(self.view.partners.addresses.values()))
+        self.executor.hops = PartnerHops(self._hops, TargetHops(pool), self.view)
+        self._tasks.start(pool.run())
 
     def _on_evacuation(self, zone: str, is_on: bool) -> None:
         if is_on or zone != self._config.zone:
@@ -188,7 +205,7 @@
         table = self.view.table
         known = table.upstreams.get(self.target.upstream) if table else None
         if known is not None and self.target.state is TargetState.READY:
-            self._start(self._probe(known.health_check_path))
+            self._tasks.start(self._probe(known.health_check_path))
 
     def _on_config(self, config: NodeConfig) -> None:
         self.executor.caller = config.upstream
@@ -205,13 +222,4 @@
             await asyncio.sleep(_OVERDUE_LOOK.total_seconds())
             self.surroundings.log_overdue(_OVERDUE_LOOK)
 
-    def _start(self, run) -> None:
-        task = asyncio.get_running_loop().create_task(run)
-        self._tasks.add(task)
-        task.add_done_callback(self._note_end)
-
-    def _note_end(self, task: asyncio.Task) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            log.error("task broke down", exc_info=task.exception())
 
--- a/marblefold/proxy/registry_follower.py
+++ b/marblefold/proxy/registry_follower.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import time
-from typing import Callable
+import zlib
+from typing import Callable, Protocol
 
 from marblefold.breakdowns import Breakdown
 from marblefold.inner_protocol.frames import FrameKind
@@ -11,30 +12,50 @@
 from marblefold.inner_protocol.mate_stream import MateStream
 from marblefold.inner_protocol.messages import kinds, pack_message, unpack_message
 from marblefold.logs import log
-from marblefold.request_path.mesh_view import MeshView
+from marblefold.proxy.term_asker import TermAsker
 
-__all__ = ["RegistryFollower"]
+__all__ = ["FeedTaker", "RegistryFollower"]
 
 _LOOK_EVERY = 0.2
 # A registry that lost the majority for longer is not counted as touch.
 _TOUCH_SECONDS = 3.0
+# A followed registry says something every second; one that does not, or is
+# lost, is passed over for a while where others can be followed.
+_SILENT_SECONDS = 2.5
+_PASS_OVER_SECONDS = 3.0
+
+
+class FeedTaker(Protocol):
+    """What takes the news in."""
+
+    registries: set[str]
+    proxies: int
+
+    def take(self, entry) -> bool: ...
 
 
 class RegistryFollower:
     """Owns the streams to the registries."""
 
     def __init__(
-        self, node: str, seeds: Callable[[], list[str]], view: MeshView,
-        make_notice: Callable[[], kinds.TargetNotice],
+        self, node: str, seeds: Callable[[], list[str]], view: FeedTaker,
+        make_notice: Callable[[], kinds.TargetNotice] | None = None, most: int | None = None,
+        asker: TermAsker | None = None,
     ) -> None:
         self._node = node
         self._seeds = seeds
         self._view = view
         self._make_notice = make_notice
+        self._asker = asker
+        # How many registries are followed at once; None follows them all.
+        self._most = most
         self._mates = MateBook(self)
         self._places: dict[str, tuple[int, int]] = {}
         self._following: set[str] = set()
         self._touched: dict[str, float] = {}
+        self._heard: dict[str, float] = {}
+        self._told_proxies: dict[str, int] = {}
+        self._passed_over: dict[str, float] = {}
 
     @property
     def is_in_touch(self) -> bool:
@@ -44,6 +65,8 @@
 
     def tell(self) -> None:
         """Something about this node changed: all registries should know."""
+        if self._make_notice is None:
+            return
         payload = pack_message(self._make_notice())
         for mate in self._following:
             stream = self._mates.find(mate)
@@ -51,26 +74,56 @@
                 stream.send(FrameKind.TELL, 0, payload)
 
     async def run(self) -> None:
-        """Keeps a stream to every registry known, for ever."""
+        """Keeps a stream to every registry that is to be followed, for ever."""
         was_in_touch = False
         while True:
             if self.is_in_touch != was_in_touch:
                 was_in_touch = not was_in_touch
                 log.info("in touch" if was_in_touch else "out of touch", node=self._node)
-            wanted = set(self._seeds()) | self._view.registries
+            wanted = self._find_wanted(time.monotonic())
             async with asyncio.TaskGroup() as group:
                 for mate in wanted:
                     if self._mates.find(mate) is None:
                         group.create_task(self._follow(mate))
+            self._ask_terms(time.monotonic())
             await asyncio.sleep(_LOOK_EVERY)
 
+    def _ask_terms(self, now: float) -> None:
+        if self._asker is None or not self._asker.is_due(now):
+            return
+        for mate in self._following:
+            stream = self._mates.find(mate)
+            if stream is not None:
+                stream.send(FrameKind.TELL, 0, pack_message(self._asker.ask(mate, now)))
+
+    def _find_wanted(self, now: float) -> list[str]:
+        known = set(self._seeds()) | self._view.registries
+        if self._most is None:
+            return list(known)
+        for mate in self._following & known:
+            # What says nothing, or reaches no majority, is not relied on.
+            is_silent = now - self._heard.get(mate, now) > _SILENT_SECONDS
+            is_alone = now - self._touched.get(mate, now) > _SILENT_SECONDS
+            if is_silent or is_alone:
+                self._passed_over[mate] = now + _PASS_OVER_SECONDS
+        ranked = sorted(known, key=lambda mate: (
+            self._passed_over.get(mate, 0.0) > now, _rank(self._node, mate)))
+        wanted = ranked[:self._most]
+        for mate in list(self._following):
+            if mate not in wanted:
+                self._mates.drop(mate)
+        return wanted
+
     async def _follow(self, mate: str) -> None:
         try:
             stream = await self._mates.reach(mate)
         except Breakdown:
+            self._passed_over[mate] = time.monotonic() + _PASS_OVER_SECONDS
             return
         self._following.add(mate)
-        stream.send(FrameKind.TELL, 0, pack_message(self._make_notice()))
+        self._heard[mate] = self._touched[mate] = time.monotonic()
+        if self._make_notice is not None:
+            stream.send(FrameKind.TELL, 0, pack_message(self._make_notice()))
         life, place = self._places.get(mate, (0, 0))
         stream.send(FrameKind.TELL, 0, pack_message(
             kinds.Follow(node=self._node, registry_life=life, place=place)))
@@ -78,8 +131,11 @@
     def on_tell(self, stream: MateStream, payload: bytes) -> None:
         """A part of a feed has come."""
         feed = unpack_message(payload)
+        if isinstance(feed, kinds.TermGrant) and self._asker is not None:
+            self._asker.take(feed)
         if not isinstance(feed, kinds.Feed):
             return
+        self._heard[stream.mate] = time.monotonic()
         life, place = self._places.get(stream.mate, (0, 0))
         # Changes that do not join on to what we have tell of a gap.
         joins = feed.frame or (feed.registry_life == life and feed.place - len(feed.entries) <= place)
@@ -91,13 +147,16 @@
         if feed.in_touch:
             self._touched[stream.mate] = time.monotonic()
         if feed.proxies:
-            self._view.proxies = feed.proxies
+            # Of several counts the largest is the careful one.
+            self._told_proxies[stream.mate] = feed.proxies
+            self._view.proxies = max(self._told_proxies.values())
         for entry in feed.entries:
             self._view.take(entry)
 
     def on_lost(self, stream: MateStream) -> None:
         """A registry is out of reach; the rounds will find it again."""
         self._following.discard(stream.mate)
+        self._told_proxies.pop(stream.mate, None)
         log.info("registry lost", mate=stream.mate)
 
     def on_hop(self, exchange: Exchange, payload: bytes) -> None:
@@ -106,3 +165,7 @@
 
     def on_call(self, stream: MateStream, number: int, payload: bytes) -> None:
         """Registries call for nothing."""
+
+
+def _rank(node: str, mate: str) -> int:
+    return zlib.crc32(f"{node}|{mate}".encode())
--- /dev/null
+++ b/marblefold/proxy/term_asker.py
@@ -0,0 +1,48 @@
+"""Asks registries for the terms that this node needs, if it needs any."""
+
+from marblefold.inner_protocol.messages import kinds
+from marblefold.request_path.mesh_view import MeshView
+from marblefold.terms.held_terms import Grant, OwnedTerm
+
+__all__ = ["TermAsker"]
+
+_ASK_EVERY = 0.7
+
+
+class TermAsker:
+    """Makes askings and takes the grants in."""
+
+    def __init__(self, node: str, view: MeshView, site: str = "", agent: str = "") -> None:
+        self._node = node
+        self._view = view
+        self._site = site
+        self._agent = agent
+        self._next = 0.0
+
+    def is_due(self, now: float) -> bool:
+        """Whether it is time to ask; without partners and owners it never is."""
+        needs = self._view.partners is not None or (self._site and self._view.owners)
+        if not needs or now < self._next:
+            return False
+        self._next = now + _ASK_EVERY
+        return True
+
+    def ask(self, mate: str, now: float) -> kinds.RenewTerm:
+        """What to ask the registry."""
+        partners = self._view.partners
+        return kinds.RenewTerm(
+            node=self._node, number=self._view.terms.ask(now),
+            digest=partners.digest if partners is not None else "",
+            # Only the agent of our own site speaks for it, whatever its name.
+            site=self._site if mate == self._agent else "")
+
+    def take(self, message: kinds.TermGrant) -> None:
+        """A registry granted terms."""
+        partners = self._view.partners
+        self._view.terms.take(
+            Grant(
+                message.number, message.partner_left_ms / 1000.0, message.partner_digest,
+                tuple(
+                    OwnedTerm(owned.upstream, owned.epoch, owned.left_ms / 1000.0)
+                    for owned in message.owned)),
+            partners.digest if partners is not None else "-")
--- /dev/null
+++ b/marblefold/registry/duty_rank.py
@@ -0,0 +1,38 @@
+"""Which registry has a duty: by key over those that live."""
+
+import time
+import zlib
+from datetime import timedelta
+from typing import Callable
+
+from marblefold.membership.members import Liveness
+from marblefold.membership.node import NodeMembership
+
+__all__ = ["DutyRank"]
+
+
+class DutyRank:
+    """Answers whether a duty's key falls to this registry."""
+
+    def __init__(
+        self, membership: NodeMembership, own: str, registries: Callable[[], set[str]],
+        is_in_touch: Callable[[], bool],
+    ) -> None:
+        self._membership = membership
+        self._own = own
+        self._registries = registries
+        self._is_in_touch = is_in_touch
+        self._began = time.monotonic()
+
+    def is_holder(self, key: str, settling: timedelta) -> bool:
+        """Whether the key falls to us; right after a start nothing does."""
+        if time.monotonic() - self._began < settling.total_seconds() or not self._is_in_touch():
+            return False
+        alive = {member.address for member in self._membership.members("registry")
+                 if member.liveness is Liveness.ALIVE}
+        candidates = (alive | {self._own}) & (self._registries() | {self._own})
+        return max(candidates, key=lambda mate: (_rank(key, mate), mate)) == self._own
+
+
+def _rank(key: str, mate: str) -> int:
+    return zlib.crc32(f"{key}|{mate}".encode())
--- a/marblefold/registry/feed.py
+++ b/marblefold/registry/feed.py
@@ -37,6 +37,11 @@
         self._places[stream] = self._catalogue.place
         self._send(stream, self._catalogue.frame() if is_frame else changes, is_frame)
 
+    @property
+    def followers(self) -> int:
+        """How many follow this registry."""
+        return len(self._places)
+
     def forget(self, stream: MateStream) -> None:
         """A follower is gone."""
         self._places.pop(stream, None)
--- /dev/null
+++ b/marblefold/registry/list_duty.py
@@ -0,0 +1,127 @@
+"""One registry's duty: brings the platform's list of targets into the feed.
+
+Whoever takes the duty up raises its epoch in the stores first.  Entries are
+ordered by epoch, then by number, so what a former holder still says never
+outranks what its successor said.
+"""
+
+import asyncio
+import random
+from datetime import timedelta
+from typing import Callable, Protocol
+
+from marblefold import wire_names
+from marblefold.breakdowns import Breakdown
+from marblefold.inner_protocol.messages import kinds
+from marblefold.logs import log
+from marblefold.registry.catalogue import Catalogue
+from marblefold.registry.platform_list import ListedTarget, PlatformList
+
+__all__ = ["DUTY_REGISTER", "ListDuty"]
+
+DUTY_REGISTER = "duty/instances"
+_LOOK_EVERY = timedelta(milliseconds=250)
+# The list is read several times within the time that a drain may take.
+_READS_IN_A_DRAIN = 3
+_LONGEST_PAUSE = timedelta(seconds=1)
+_MOST_BACK_OFF = 4.0
+
+
+class Words(Protocol):
+    """Where the epoch of the duty is kept."""
+
+    async def ask(self, kind: str, register: str, number: int = 0, value: bytes = b""): ...
+
+
+class ListDuty:
+    """Reads the list while the duty is ours."""
+
+    def __init__(
+        self, listing: PlatformList, catalogue: Catalogue, words: Words, own: str,
+        is_holder: Callable[[], bool], region_of: Callable[[str], str], drain_time: timedelta,
+    ) -> None:
+        self._listing = listing
+        self._catalogue = catalogue
+        self._words = words
+        self._own = own
+        self._is_holder = is_holder
+        self._region_of = region_of
+        self._pause = min(_LONGEST_PAUSE, drain_time / _READS_IN_A_DRAIN)
+        # The epoch in which we hold the duty; None while we do not.
+        self._epoch: int | None = None
+        self._number = 0
+        self._told: dict[str, ListedTarget] = {}
+        self._missing: set[str] = set()
+
+    async def run(self) -> None:
+        """Makes rounds for ever, slower while the platform does not answer."""
+        back_off = 1.0
+        while True:
+            if not self._is_holder():
+                self._epoch = None
+                await asyncio.sleep(_LOOK_EVERY.total_seconds())
+                continue
+            try:
+                await self.step()
+                back_off = 1.0
+            except Breakdown as breakdown:
+                # What is held serves on; many must not ask all at once.
+                back_off = min(_MOST_BACK_OFF, back_off * 1.5)
+                log.warning("no list", step=breakdown.step, mate=breakdown.mate,
+                            reason=breakdown.reason)
+            await asyncio.sleep(
+                self._pause.total_seconds() * back_off * random.uniform(0.85, 1.0))
+
+    async def step(self) -> None:
+        """One round: the duty's epoch, the whole list, then the news in it."""
+        if self._epoch is None:
+            await self._take_up()
+        self._tell(await self._listing.read())
+
+    async def _take_up(self) -> None:
+        held = await self._words.ask("describe", DUTY_REGISTER)
+        own = self._own.encode()
+        taken = await self._words.ask("duty", DUTY_REGISTER, held.number, own)
+        # Another was faster: its epoch is not ours.
+        if taken.value != own or taken.number != held.number + 1:
+            raise Breakdown("duty", "taken by another", taken.value.decode())
+        self._epoch, self._number = taken.number, 0
+        self._told, self._missing = {}, set()
+        log.info("list duty", epoch=self._epoch)
+
+    def _tell(self, listed: dict[str, ListedTarget]) -> None:
+        for instance, target in listed.items():
+            held = self._told.get(instance)
+            # How long it stays cold runs down by itself and is no news.
+            if held is None or _mark(held) != _mark(target):
+                self._put(instance, target)
+        self._told = listed | {
+            instance: target for instance, target in self._told.items()
+            if instance in self._missing and instance not in listed}
+        known = {entry.key for entry in self._catalogue.entries("target")}
+        for instance in known - set(listed):
+            # A page boundary may hide one once; twice missing is gone.
+            if instance in self._missing:
+                self._put(instance, None)
+        self._missing = known - set(listed)
+
+    def _put(self, instance: str, target: ListedTarget | None) -> None:
+        self._number += 1
+        value = b""
+        if target is not None:
+            value = kinds.TargetNotice(
+                node=instance, address=target.address, zone=target.zone,
+                region=self._region_of(target.zone), instance=instance,
+                upstream=target.upstream, slots=target.slots, state=target.state,
+                cold_left_ms=int(target.cold / timedelta(milliseconds=1)),
+            ).SerializeToString()
+        else:
+            self._told.pop(instance, None)
+        self._catalogue.put(kinds.Entry(
+            kind="target", key=instance, life=self._epoch, number=self._number,
+            value=value, removed=target is None))
+
+
+def _mark(target: ListedTarget) -> tuple:
+    is_cold = target.cold > timedelta(0) and target.state == wire_names.READY
+    return target._replace(cold=timedelta(0)), is_cold
--- a/marblefold/registry/live_capacity.py
+++ b/marblefold/registry/live_capacity.py
@@ -1,9 +1,6 @@
 """The slots that can be counted on now, as this registry knows them."""
 
-import time
-import zlib
-from datetime import datetime, timezone
-from typing import Callable
+from datetime import datetime, timedelta, timezone
 
 from marblefold import wire_names
 from marblefold.inner_protocol.messages import kinds
@@ -11,36 +8,31 @@
 from marblefold.membership.members import Liveness
 from marblefold.membership.node import NodeMembership
 from marblefold.registry.catalogue import Catalogue
+from marblefold.registry.duty_rank import DutyRank
 
 __all__ = ["LiveCapacity"]
 
 _DUTY_KEY = "maintenance"
 # Right after its start a registry has not heard of all there is.
-_SETTLING_SECONDS = 3.0
+_SETTLING = timedelta(seconds=3)
 
 
 class LiveCapacity:
     """Answers what the maintenance duty asks of the mesh."""
 
     def __init__(
-        self, catalogue: Catalogue, membership: NodeMembership, own: str,
-        registries: Callable[[], set[str]], is_in_touch: Callable[[], bool],
+        self, catalogue: Catalogue, membership: NodeMembership,
+        duties: DutyRank, has_proxies: bool,
     ) -> None:
         self._catalogue = catalogue
         self._membership = membership
-        self._own = own
-        self._registries = registries
-        self._is_in_touch = is_in_touch
-        self._began = time.monotonic()
+        self._duties = duties
+        # Without proxies beside them, targets live as the platform says.
+        self._has_proxies = has_proxies
 
     def is_duty_holder(self) -> bool:
         """Whether the duty's key falls to this registry among those that live."""
-        if time.monotonic() - self._began < _SETTLING_SECONDS or not self._is_in_touch():
-            return False
-        alive = {member.address for member in self._membership.members("registry")
-                 if member.liveness is Liveness.ALIVE}
-        candidates = (alive | {self._own}) & (self._registries() | {self._own})
-        return max(candidates, key=lambda mate: (_rank(mate), mate)) == self._own
+        return self._duties.is_holder(_DUTY_KEY, _SETTLING)
 
     def live_slots(self) -> LiveSlots:
         """Cold, draining, leaving, suspected, lost and evacuated ones left out."""
@@ -50,7 +42,8 @@
         for notice in self._notices():
             counts = (
                 notice.state == wire_names.READY and not notice.leaving
-                and not notice.cold_left_ms and notice.node in alive
+                and not notice.cold_left_ms
+                and (not self._has_proxies or notice.node in alive)
                 and self.evacuation(notice.zone) != b"on")
             if counts:
                 key = (notice.upstream, notice.zone)
@@ -82,7 +75,3 @@
     def _notices(self):
         for entry in self._catalogue.entries("target"):
             yield kinds.TargetNotice.FromString(entry.value)
-
-
-def _rank(mate: str) -> int:
-    return zlib.crc32(f"{_DUTY_KEY}|{mate}".encode())
--- /dev/null
+++ b/marblefold/registry/mate_news.py
@@ -0,0 +1,28 @@
+"""Takes over from the other registries what only one of them finds out."""
+
+from typing import Callable
+
+from marblefold.registry.catalogue import Catalogue
+
+__all__ = ["MateNews"]
+
+
+class MateNews:
+    """Follows the feeds of the others, for entries of a few kinds only."""
+
+    def __init__(
+        self, catalogue: Catalogue, kinds_taken: set[str], others: Callable[[], set[str]],
+    ) -> None:
+        self.proxies = 0
+        self._catalogue = catalogue
+        self._kinds = kinds_taken
+        self._others = others
+
+    @property
+    def registries(self) -> set[str]:
+        """Whom to follow."""
+        return self._others()
+
+    def take(self, entry) -> bool:
+        """Takes in an entry of another registry, if it is newer than ours."""
+        return entry.kind in self._kinds and self._catalogue.put(entry)
--- /dev/null
+++ b/marblefold/registry/platform_list.py
@@ -0,0 +1,98 @@
+"""Reads the platform's list of targets, page by page.
+
+The list is paged and its calls are counted over all nodes; what is read is a
+whole list or nothing.
+"""
+
+import asyncio
+import json
+from datetime import timedelta
+from typing import NamedTuple
+from urllib.parse import quote
+
+from aiohttp.http_exceptions import HttpProcessingError
+
+from marblefold import wire_names
+from marblefold.breakdowns import Breakdown
+from marblefold.http_streams.target_streams import TargetStreams
+from marblefold.node_config.reading import Address
+
+__all__ = ["ListedTarget", "PlatformList", "read_page"]
+
+_CALL_SECONDS = 1.0
+_MOST_PAGES = 1000
+# Two nodes that both think they hold the duty stay below the rate together.
+_RATE_SHARE = 0.25
+
+
+class ListedTarget(NamedTuple):
+    """A target as the platform lists it."""
+
+    instance: str
+    upstream: str
+    address: str
+    zone: str
+    slots: int
+    state: str
+    cold: timedelta
+
+
+class PlatformList:
+    """Asks the platform for its list."""
+
+    def __init__(self, address: Address, rate_per_second: float) -> None:
+        self._address = address
+        self._streams = TargetStreams(address)
+        self._pause = 1.0 / max(0.1, rate_per_second * _RATE_SHARE)
+
+    async def read(self) -> dict[str, ListedTarget]:
+        """The whole list, or a Breakdown if any of its pages does not come."""
+        listed: dict[str, ListedTarget] = {}
+        token = ""
+        for _ in range(_MOST_PAGES):
+            targets, token = await self._read_page(token)
+            listed.update((target.instance, target) for target in targets)
+            if not token:
+                return listed
+            await asyncio.sleep(self._pause)
+        raise Breakdown("list", "no last page", str(self._address))
+
+    async def _read_page(self, token: str) -> tuple[list[ListedTarget], str]:
+        path = wire_names.INSTANCES_CALL[1]
+        if token:
+            path += f"?{wire_names.PAGE_TOKEN}={quote(token, safe='')}"
+        mate = str(self._address)
+        stream = None
+        try:
+            async with asyncio.timeout(_CALL_SECONDS):
+                stream = await self._streams.take()
+                head = f"GET {path} HTTP/1.1\r\nHost: {mate}\r\n\r\n"
+                await stream.begin(head.encode(), None)
+                answer = await stream.answer()
+                body = await answer.payload.read()
+            self._streams.give_back(stream)
+            stream = None
+        except (TimeoutError, ConnectionError, HttpProcessingError) as error:
+            raise Breakdown("list", str(error) or "no answer", mate) from error
+        finally:
+            if stream is not None:
+                self._streams.discard(stream)
+        if answer.status != 200:
+            raise Breakdown("list", f"status {answer.status}", mate)
+        try:
+            return read_page(body)
+        except (ValueError, TypeError, KeyError, AttributeError) as error:
+            raise Breakdown("list", f"bad page: {error!r}", mate) from error
+
+
+def read_page(body: bytes) -> tuple[list[ListedTarget], str]:
+    """The targets of a page, and the token of the next one or nothing."""
+    document = json.loads(body)
+    targets = []
+    for instance, row in document[wire_names.INSTANCE_LIST].items():
+        targets.append(ListedTarget(
+            instance, row[wire_names.UPSTREAM], str(Address.parse(row[wire_names.ADDRESS])),
+            row[wire_names.ZONE], max(1, int(row[wire_names.CAPACITY_SLOTS])),
+            row[wire_names.STATE],
+            timedelta(milliseconds=float(row.get(wire_names.COLD_REMAINING_MS) or 0))))
+    return targets, document.get(wire_names.NEXT_PAGE_TOKEN) or ""
--- a/marblefold/registry/program.py
+++ b/marblefold/registry/program.py
@@ -1,33 +1,41 @@
 """The registry: knows targets and proxies, takes outside calls, feeds news."""
 
 import asyncio
+import math
 import signal
 import time
+from datetime import timedelta
 
 from marblefold.http_streams.call_router import CallRouter
 from marblefold.http_streams.downstream_server import DownstreamServer
 from marblefold.inner_protocol.exchange import Exchange
+from marblefold.inner_protocol.frames import FrameKind
 from marblefold.inner_protocol.mate_stream import MateStream
-from marblefold.inner_protocol.messages import kinds, unpack_message
-from marblefold.inner_protocol.ports import REGISTRY, STORE, inner_address
+from marblefold.inner_protocol.messages import kinds, pack_message, unpack_message
+from marblefold.inner_protocol.ports import GATEWAY_FOLLOWS, REGISTRY, STORE, inner_address
 from marblefold.logs import log
 from marblefold.maintenance.calls import MaintenanceCalls
 from marblefold.maintenance.duty import REGISTER as MAINTENANCE
 from marblefold.maintenance.duty import MaintenanceDuty
 from marblefold.membership.node import NodeMembership
+from marblefold.node_config.reading import NodeConfig
 from marblefold.node_config.watching import ConfigWatch
 from marblefold.operator_spec.laying_out import lay_out
 from marblefold.operator_spec.reading import read_spec
 from marblefold.registry.catalogue import Catalogue
 from marblefold.registry.control_calls import ControlCalls
+from marblefold.registry.duty_rank import DutyRank
 from marblefold.registry.feed import FeedKeeper
 from marblefold.registry.live_capacity import LiveCapacity
+from marblefold.registry.site_news import PARTNERS_REGISTER, SiteNews
 from marblefold.registry.state import describe_state
 from marblefold.registry.store_words import HeldWord, StoreWords
 from marblefold.spec_store.view import read_view
 
 __all__ = ["RegistryProgram"]
 
+_LIST_SETTLING = timedelta(seconds=1)
+
 
 class RegistryProgram:
     """Puts the parts of a registry together and runs them."""
@@ -43,12 +51,18 @@
         self._registries: set[str] = set()
         self.feed = FeedKeeper(self.catalogue, self._is_in_touch, self._count_proxies)
         self._streams: dict[MateStream, str] = {}
+        self._own = inner_address(config.host, config, REGISTRY)
+        self._duties = DutyRank(
+            self._membership, self._own, lambda: self._registries, self._is_in_touch)
         capacity = LiveCapacity(
-            self.catalogue, self._membership,
-            inner_address(config.host, config, REGISTRY), lambda: self._registries,
-            self._is_in_touch)
+            self.catalogue, self._membership, self._duties, config.cloud is None)
+        self._extra_runs = self._make_list_duty(config) if config.cloud is not None else []
         self.maintenance = MaintenanceDuty(self.words, capacity)
+        self._sites = SiteNews(
+            config, self._own, self.catalogue, self.words,
+            lambda: self._duties.is_holder(PARTNERS_REGISTER, _LIST_SETTLING))
         calls = CallRouter()
+        self._sites.add_to(calls)
         MaintenanceCalls(self.words, self._zones, capacity.all_slots).add_to(calls)
         ControlCalls(
             self.words, self._zones, self._tell_state,
@@ -70,7 +84,8 @@
         tasks = [
             loop.create_task(run) for run in (
                 self._watch.run(), self.words.run(), self.feed.run(), self._control.run(),
-                self._membership.run(), self.maintenance.run())
+                self._membership.run(), self.maintenance.run(), *self._extra_runs,
+                *self._sites.runs())
         ]
         await self._stop.wait()
         # Calls that were read are answered; callers know other registries.
@@ -82,6 +97,25 @@
         for task in tasks:
             task.cancel()
 
+    def _make_list_duty(self, config: NodeConfig) -> list:
+        """Where the platform keeps the list, one registry reads it for all."""
+        # Nothing else needs these, so other deployments do not import them.
+        from marblefold.proxy.registry_follower import RegistryFollower
+        from marblefold.registry.list_duty import DUTY_REGISTER, ListDuty
+        from marblefold.registry.mate_news import MateNews
+        from marblefold.registry.platform_list import PlatformList
+
+        news = MateNews(
+            self.catalogue, {"target"}, lambda: self._registries - {self._own})
+        follower = RegistryFollower(config.node_name, lambda: [], news)
+        duty = ListDuty(
+            PlatformList(config.cloud.address, config.cloud.rate_per_second),
+            self.catalogue, self.words, self._own,
+            lambda: self._duties.is_holder(DUTY_REGISTER, _LIST_SETTLING),
+            lambda zone: self._watch.config.zone_regions.get(zone, ""),
+            config.bounds.drain_time)
+        return [follower.run(), duty.run()]
+
     def on_tell(self, stream: MateStream, payload: bytes) -> None:
         """A proxy tells of itself, or follows the feed."""
         message = unpack_message(payload)
@@ -89,6 +123,8 @@
             self.feed.follow(stream, message)
         elif isinstance(message, kinds.TargetNotice):
             self._take_notice(stream, message)
+        elif isinstance(message, kinds.RenewTerm):
+            stream.send(FrameKind.TELL, 0, pack_message(self._sites.granter.grant(message)))
 
     def on_lost(self, stream: MateStream) -> None:
         """A proxy's stream is gone; what it told holds until others know more."""
@@ -107,6 +143,7 @@
         self.catalogue.put(kinds.Entry(
             kind="target", key=notice.node, life=notice.node_life,
             number=notice.notice_number, value=notice.SerializeToString()))
+        self._sites.note_claims()
 
     def _on_word(self, word: HeldWord) -> None:
         """A word holds: bring it to all followers."""
@@ -122,6 +159,8 @@
             self.maintenance.take(word.number, word.value)
         elif word.register == "view":
             self._take_view(word)
+        else:
+            self._sites.take_word(word.register, word.number, word.value)
 
     def _take_view(self, word: HeldWord) -> None:
         members = set(read_view(word.value).members)
@@ -151,7 +190,12 @@
         return len(alive & self._registries) * 2 > len(self._registries)
 
     def _count_proxies(self) -> int:
-        return len(self.catalogue.entries("target"))
+        if self._config.cloud is None:
+            return len(self.catalogue.entries("target"))
+        # Each gateway follows a few registries; the others follow us too.
+        registries = max(1, len(self._registries))
+        gateways = max(0, self.feed.followers - (registries - 1))
+        return max(1, math.ceil(gateways * registries / min(registries, GATEWAY_FOLLOWS)))
 
     def _seed_stores(self) -> list[str]:
         config = self._watch.config
--- a/marblefold/request_path/eligibility.py
+++ b/marblefold/request_path/eligibility.py
@@ -2,17 +2,21 @@
 
 from typing import Collection
 
-from marblefold.request_path.mesh_view import KnownTarget
+from marblefold.request_path.mesh_view import KnownOwner, KnownTarget
 
 __all__ = ["is_eligible", "is_last_resort"]
 
 
 def is_eligible(
     target: KnownTarget, evacuated: Collection[str], homes: Collection[str] | None,
+    owner: KnownOwner | None = None,
 ) -> bool:
     """Whether a hop may go to the target."""
     if target.zone in evacuated:
         return False
+    # A service that a site owns is served nowhere else.
+    if owner is not None and (target.site, target.site_agent) != (owner.site, owner.agent):
+        return False
     # The homes of a mapping bind: elsewhere it must not run.
     return not homes or target.region in homes
 
--- a/marblefold/request_path/executor.py
+++ b/marblefold/request_path/executor.py
@@ -9,7 +9,7 @@
 from marblefold.logs import log
 from marblefold.operator_spec.rows import Mapping
 from marblefold.request_path.decision import Conclude, Offer, RequestDecision
-from marblefold.request_path.hop_sender import HopSender
+from marblefold.request_path.hop_sender import Hops
 from marblefold.request_path.outcome import HopOutcome, HopResult
 from marblefold.request_path.running_work import RunningWork
 from marblefold.request_path.surroundings import Surroundings
@@ -25,12 +25,12 @@
     """Serves the requests that downstreams send to this proxy."""
 
     def __init__(
-        self, surroundings: Surroundings, hops: HopSender, work: RunningWork, caller: str,
+        self, surroundings: Surroundings, hops: Hops, work: RunningWork, caller: str,
     ) -> None:
         self.caller = caller
         self._work = work
         self._surroundings = surroundings
-        self._hops = hops
+        self.hops = hops
         self._random = random.Random()
 
     async def serve(self, request: DownstreamRequest) -> Answer:
@@ -111,7 +111,7 @@
         ticket = surroundings.begin(target, decision.weight, request.attempt_id)
         result = HopResult(HopOutcome.UNKNOWN, step="cancelled")
         try:
-            result = await self._hops.send(
+            result = await self.hops.send(
                 target.mate, head, request, body_limit, offer.seconds_left)
             return result
         finally:
@@ -127,6 +127,9 @@
         if not request.attempt_id or len(request.attempt_id) > 200:
             return own_answer(400, "no Attempt-Id"), None
         mapping = table.find(request.host, request.path)
+        if mapping is None:
+            mapping = self._surroundings.view.find_partner_mapping(
+                request.host, request.path, time.monotonic())
         if mapping is None:
             return own_answer(404, "no mapping", request.attempt_id), None
         return None, mapping
@@ -145,6 +148,7 @@
         self, request: DownstreamRequest, mapping: Mapping, upstream: str, body: bytes,
         is_whole: bool,
     ):
+        owner = self._surroundings.view.owners.get(upstream)
         length = -1
         if is_whole:
             length = len(body) if request.has_body or request.body_length == 0 else -1
@@ -159,6 +163,7 @@
             caller_service=self.caller,
             mapping_kind=mapping.kind,
             spec_number=self._surroundings.view.table.number,
+            owner_epoch=owner.epoch if owner is not None else 0,
             priority=1 + max(0, mapping.priority),
             body=body,
             body_follows=not is_whole,
--- a/marblefold/request_path/guard.py
+++ b/marblefold/request_path/guard.py
@@ -166,6 +166,8 @@
             return _refuse("target out of reach", _SHUN_SECONDS)
         if target.upstream != head.upstream:
             return _refuse("another upstream", 0.0)
+        if not self._is_owner(head):
+            return _refuse("another owner", _REFUSED_RETRY_SECONDS)
         if target.state is TargetState.DRAINING:
             # News of the drain may be on its way; others may serve meanwhile.
             share = self._bounds.drain_time.total_seconds() * _DRAIN_SHARE
@@ -183,6 +185,13 @@
         self.cold.cold_until = target.cold_until
         return None
 
+    def _is_owner(self, head) -> bool:
+        """Whether our site owns the service now, under the sender's epoch."""
+        if not head.owner_epoch and head.upstream not in self._view.owners:
+            return True
+        epoch = self._view.terms.epoch(head.upstream, time.monotonic())
+        return epoch != 0 and epoch == head.owner_epoch
+
     def _is_too_late(self, head) -> bool:
         if self._leaving_since is None:
             return False
--- a/marblefold/request_path/hop_sender.py
+++ b/marblefold/request_path/hop_sender.py
@@ -2,19 +2,20 @@
 
 import asyncio
 import time
-from typing import Callable
+from typing import Callable, Protocol
 
 from marblefold import wire_names
 from marblefold.breakdowns import Breakdown
 from marblefold.http_streams.answer import Answer
 from marblefold.http_streams.downstream_request import BodyTooLarge, DownstreamRequest
 from marblefold.inner_protocol.frames import FrameKind
+from marblefold.inner_protocol.body_pipe import BodyPipe
 from marblefold.inner_protocol.mate_book import MateBook
 from marblefold.inner_protocol.exchange import Exchange
 from marblefold.inner_protocol.messages import kinds
 from marblefold.request_path.outcome import HopOutcome, HopResult, Pressure
 
-__all__ = ["HopSender"]
+__all__ = ["HopSender", "Hops", "make_result"]
 
 # A mate that holds hops and is quiet for so long is asked for a sign of life,
 # and counts as silent when none comes in time.
@@ -25,6 +26,14 @@
 _GUARD_WORD_SECONDS = 0.03
 
 
+class Hops(Protocol):
+    """Where a hop ends: at a mate's guard, or at a target itself."""
+
+    async def send(
+        self, mate: str, head, request: DownstreamRequest, body_bound: int, seconds: float,
+    ) -> HopResult: ...
+
+
 class HopSender:
     """Carries hops over the streams to mates."""
 
@@ -68,7 +77,8 @@
                 payload = await exchange.answer
             answer_head = kinds.AnswerHead.FromString(payload)
             is_over = not answer_head.body_follows
-            return _make_result(answer_head, exchange, request.method)
+            return make_result(
+                answer_head, exchange.incoming, exchange.close, request.method)
         except TimeoutError:
             return HopResult(HopOutcome.UNKNOWN, step="deadline")
         except Breakdown as breakdown:
@@ -103,16 +113,19 @@
         return
 
 
-def _make_result(head, exchange: Exchange, method: str) -> HopResult:
+def make_result(
+    head, pipe: BodyPipe, release: Callable[[], object], method: str,
+) -> HopResult:
+    """The result of a hop from the word on it; a large body follows in the pipe."""
     pressure = Pressure(head.running, head.waiting, head.slots) if head.slots else None
     outcome = HopOutcome(head.outcome)
     answer = None
     if outcome is HopOutcome.ANSWERED:
         answer = Answer(
             head.status, head.reason, head.header_block, head.body,
-            exchange.incoming if head.body_follows else None,
+            pipe if head.body_follows else None,
             is_bodiless=method == "HEAD",
-            release=exchange.close if head.body_follows else None,
+            release=release if head.body_follows else None,
         )
     return HopResult(
         outcome, answer, head.retry_after_ms / 1000.0, head.step, pressure,
--- a/marblefold/request_path/mesh_view.py
+++ b/marblefold/request_path/mesh_view.py
@@ -4,15 +4,18 @@
 one key the one with the higher life and number holds.
 """
 
+import json
 import time
 from typing import Callable, NamedTuple
 
 from marblefold.inner_protocol.messages import kinds
 from marblefold.logs import log
 from marblefold.operator_spec.mapping_table import MappingTable
-from marblefold.operator_spec.rows import read_rows
+from marblefold.operator_spec.rows import Mapping, read_rows
+from marblefold.partners.merging import UPSTREAM_PREFIX, PartnerTable, merge, partner_of
+from marblefold.terms.held_terms import HeldTerms
 
-__all__ = ["KnownTarget", "MeshView"]
+__all__ = ["KnownOwner", "KnownTarget", "MeshView"]
 
 
 class KnownTarget(NamedTuple):
@@ -28,6 +31,17 @@
     is_draining: bool
     cold_until: float
     is_leaving: bool
+    # The site that claims the service here, and the registry that does so.
+    site: str = ""
+    site_agent: str = ""
+
+
+class KnownOwner(NamedTuple):
+    """The owner of a service, under its epoch."""
+
+    site: str
+    agent: str
+    epoch: int
 
 
 class MeshView:
@@ -42,7 +56,13 @@
         # Called when another life of this node is taken for the newest.
         self.on_own_notice: Callable[[int], None] | None = None
         self.on_evacuation: Callable[[str, bool], None] | None = None
+        self.on_partners: Callable[[], None] | None = None
         self.on_spec: Callable[[MappingTable], None] | None = None
+        # Routes that partners export; None as long as there is no partner.
+        self.partners: PartnerTable | None = None
+        self.terms = HeldTerms()
+        # Services that one site owns; the present owner of each, or nobody.
+        self.owners: dict[str, KnownOwner] = {}
         self._node = node
         self._versions: dict[tuple[str, str], tuple[int, int]] = {}
         self._targets: dict[str, dict[str, KnownTarget]] = {}
@@ -50,8 +70,15 @@
 
     def targets(self, upstream: str) -> list[KnownTarget]:
         """The targets of the upstream that are not known to be gone."""
+        if self.partners is not None and upstream.startswith(UPSTREAM_PREFIX):
+            return self._partner_doors(upstream)
         return list(self._targets.get(upstream, {}).values())
 
+    def mates(self) -> set[str]:
+        """Where hops to the known targets go."""
+        return {
+            target.mate for targets in self._targets.values() for target in targets.values()}
+
     def take(self, entry) -> bool:
         """Takes in an entry; tells whether it was news."""
         key = (entry.kind, entry.key)
@@ -67,8 +94,37 @@
             self._take_evacuation(entry)
         elif entry.kind == "registries":
             self.registries = set(entry.value.decode().split("\n"))
+        elif entry.kind == "partners":
+            is_first = self.partners is None
+            self.partners = merge(entry.number, entry.value)
+            if is_first and self.on_partners is not None:
+                self.on_partners()
+            log.info("partner routes", number=entry.number, digest=self.partners.digest)
+        elif entry.kind == "owner":
+            self._take_owner(entry)
         return True
 
+    def find_partner_mapping(self, host: str, path: str, now: float) -> Mapping | None:
+        """The partner route of a request, while the routes here surely hold."""
+        if self.partners is None or not self.terms.may_use_partners(now):
+            return None
+        return self.partners.find(host, path)
+
+    def _partner_doors(self, upstream: str) -> list[KnownTarget]:
+        address = self.partners.addresses.get(partner_of(upstream))
+        if address is None:
+            return []
+        return [KnownTarget(
+            upstream, address, "", "", upstream, upstream, 64, False, 0.0, False)]
+
+    def _take_owner(self, entry) -> None:
+        if entry.removed:
+            self.owners.pop(entry.key, None)
+            return
+        site, agent, epoch, _renewals = json.loads(entry.value) if entry.value else ("", "", 0, 0)
+        self.owners[entry.key] = KnownOwner(site, agent, epoch)
+        log.info("owner", upstream=entry.key, site=site, epoch=epoch)
+
     def _take_spec(self, entry) -> None:
         # Laid out whole first: a request sees the old spec or the new one.
         self.table = MappingTable(read_rows(entry.value))
@@ -100,6 +156,8 @@
             is_draining=notice.state == "draining",
             cold_until=time.monotonic() + notice.cold_left_ms / 1000.0,
             is_leaving=notice.leaving,
+            site=notice.site,
+            site_agent=notice.site_agent,
         )
 
     def _take_evacuation(self, entry) -> None:
--- a/marblefold/request_path/nomination.py
+++ b/marblefold/request_path/nomination.py
@@ -1,25 +1,34 @@
 """Nominates the target that the next hop goes to."""
 
 import random
+import zlib
 from typing import Collection, NamedTuple
 
 from marblefold.request_path.eligibility import is_eligible, is_last_resort
 from marblefold.request_path.mesh_view import KnownTarget, MeshView
 from marblefold.request_path.outcome import Pressure
+from marblefold.request_path.target_record import TargetRecord
 
 __all__ = ["Nominee", "Nominator"]
 
-# Told pressure is news for so long; then our own calls are all we know.
-_TOLD_SECONDS = 1.0
-# A mate that broke down is passed over for so long where others can serve.
+# A mate that says nothing is passed over for so long where others can serve.
 _SHUN_SECONDS = 1.0
+# Beyond this share of an upstream nobody is passed over any more: they cannot
+# all be that bad, and the rest could not bear it.
+_MOST_SHUNNED = 0.5
 # Bytes between zones have a price: what a kilobyte of a hop adds, in aims,
 # to the latency that is compared, and the most that it may add.
 _ZONE_SURCHARGE_PER_KILOBYTE = 0.06
 _MOST_ZONE_SURCHARGE = 1.0
-_LEARN = 0.15
+# What a target costs, in aims, that fails every request.
+_FAILURE_SURCHARGE = 3.0
+_FIRST_LATENCY = 0.3
+_LEARN_USUAL = 0.02
 _NEAR_CANDIDATES = 4
 _FAR_CANDIDATES = 2
+# Of many targets only so many in its own zone are used by one process, so
+# that it finds its streams to them still open.
+_SUBSET = 6
 
 
 class Nominee(NamedTuple):
@@ -29,29 +38,19 @@
     is_last_resort: bool
 
 
-class _Record:
-    """What was learned of one target."""
-
-    __slots__ = ("in_flight", "told", "told_at", "latency", "broken_at", "refused_until")
-
-    def __init__(self) -> None:
-        self.in_flight = 0
-        self.told: Pressure | None = None
-        self.told_at = 0.0
-        self.latency = 0.0
-        self.broken_at = -1e9
-        self.refused_until = 0.0
-
-
 class Nominator:
     """Learns how targets fare and picks the one likely to answer first."""
 
-    def __init__(self, view: MeshView, zone: str, seed: int | None = None) -> None:
+    def __init__(
+        self, view: MeshView, zone: str, seed: int | None = None, subset_of: str = "",
+    ) -> None:
         self._view = view
         self._zone = zone
-        self._records: dict[str, _Record] = {}
+        self._records: dict[str, TargetRecord] = {}
+        self._usual: dict[str, float] = {}
         self._silent_until: dict[str, float] = {}
         self._random = random.Random(seed)
+        self._subset_of = subset_of
 
     def nominate(
         self, upstream: str, tried: Collection[str], homes: Collection[str] | None,
@@ -59,26 +58,27 @@
     ) -> Nominee | None:
         """The target for the next hop, or None if there is none to be had."""
         preferred: list[KnownTarget] = []
-        resort: list[KnownTarget] = []
+        shunned: list[KnownTarget] = []
+        ending: list[KnownTarget] = []
+        owner = self._view.owners.get(upstream)
         for target in self._view.targets(upstream):
             if target.instance in tried:
                 continue
-            if not is_eligible(target, self._view.evacuated, homes):
+            if not is_eligible(target, self._view.evacuated, homes, owner):
                 continue
-            record = self._record(target.node)
-            is_doubtful = (
-                is_last_resort(target)
-                or target.node in self._view.suspects
-                or now - record.broken_at < _SHUN_SECONDS
-                or now < self._silent_until.get(target.mate, 0.0)
-                or now < record.refused_until
-            )
-            (resort if is_doubtful else preferred).append(target)
+            if is_last_resort(target):
+                ending.append(target)
+            elif self._is_doubtful(target, now):
+                shunned.append(target)
+            else:
+                preferred.append(target)
         # One that is busy is still better than one about to end.
-        staying = [target for target in resort if not is_last_resort(target)]
-        candidates = preferred or staying or resort
+        candidates = preferred or shunned or ending
         if not candidates:
             return None
+        if candidates is preferred and len(shunned) > _MOST_SHUNNED * (
+                len(shunned) + len(preferred)):
+            candidates = preferred + shunned
         surcharge = min(_MOST_ZONE_SURCHARGE, kilobytes * _ZONE_SURCHARGE_PER_KILOBYTE)
         best = min(
             self._draw(candidates),
@@ -95,21 +95,22 @@
         self._record(target.node).in_flight -= 1
 
     def note_pressure(self, target: KnownTarget, pressure: Pressure, now: float) -> None:
-        """The proxy beside the target told its pressure."""
-        record = self._record(target.node)
-        record.told = pressure
-        record.told_at = now
+        """The proxy beside the target, or the target, told its pressure."""
+        self._record(target.node).note_pressure(pressure, now)
 
-    def note_latency(self, target: KnownTarget, weighted: float) -> None:
+    def note_latency(self, target: KnownTarget, weighted: float, now: float) -> None:
         """The target answered; how long it took over the aim."""
-        record = self._record(target.node)
-        if record.latency == 0.0:
-            record.latency = weighted
-        record.latency += _LEARN * (weighted - record.latency)
+        self._record(target.node).note_success(weighted, now)
+        usual = self._usual.get(target.upstream, weighted)
+        self._usual[target.upstream] = usual + _LEARN_USUAL * (weighted - usual)
+
+    def note_failure(self, target: KnownTarget, now: float) -> None:
+        """The target failed a request, or turned it away."""
+        self._record(target.node).note_failure(now)
 
     def note_breakdown(self, target: KnownTarget, now: float) -> None:
         """The mate or its target could not be talked to."""
-        self._record(target.node).broken_at = now
+        self._record(target.node).note_breakdown(now)
 
     def note_silent(self, mate: str, now: float) -> None:
         """The mate gives no sign of life just now."""
@@ -119,37 +120,43 @@
         """The guard does not want more before that time."""
         self._record(target.node).refused_until = until
 
+    def _is_doubtful(self, target: KnownTarget, now: float) -> bool:
+        record = self._record(target.node)
+        return (
+            target.node in self._view.suspects
+            or now < record.broken_until
+            or now < record.refused_until
+            or now < self._silent_until.get(target.mate, 0.0)
+        )
+
     def _draw(self, candidates: list[KnownTarget]) -> list[KnownTarget]:
         """A few of many, so that proxies with the same news do not all agree."""
         if len(candidates) <= _NEAR_CANDIDATES + _FAR_CANDIDATES:
             return candidates
         near = [target for target in candidates if target.zone == self._zone]
         far = [target for target in candidates if target.zone != self._zone]
+        if self._subset_of and len(near) > _SUBSET:
+            # Ranked by key: it changes little when others come or go.
+            near.sort(key=lambda target: self._record(target.node).rank)
+            del near[_SUBSET:]
         return (
             self._random.sample(near, min(len(near), _NEAR_CANDIDATES))
             + self._random.sample(far, min(len(far), _FAR_CANDIDATES)))
 
-    def _record(self, node: str) -> _Record:
+    def _record(self, node: str) -> TargetRecord:
         record = self._records.get(node)
         if record is None:
-            record = self._records[node] = _Record()
+            rank = zlib.crc32(f"{self._subset_of}|{node}".encode()) if self._subset_of else 0
+            record = self._records[node] = TargetRecord(rank)
         return record
 
     def _expected(self, target: KnownTarget, now: float) -> float:
         record = self._record(target.node)
-        pressure = float(record.in_flight)
-        slots = target.slots
-        if record.told is not None:
-            # The told pressure fades: without news the target drains.
-            age = now - record.told_at
-            if age < _TOLD_SECONDS:
-                told = record.told.running + record.told.waiting
-                pressure = max(pressure, told * (1.0 - age / _TOLD_SECONDS))
-            slots = record.told.slots or slots
-        use = (pressure + 1.0) / max(1, slots)
+        use = record.use(target.slots, now)
         # While slots are free more work hardly slows; beyond them it queues.
         factor = 1.0 + 0.3 * use + 4.0 * max(0.0, use - 0.8)
-        latency = record.latency or 0.3
+        latency = record.latency(self._usual.get(target.upstream, _FIRST_LATENCY), now)
         if target.cold_until > now:
             factor *= 3.0
-        return latency * factor * (1.0 + 0.1 * self._random.random())
+        failing = _FAILURE_SURCHARGE * record.failing(now)
+        return (latency * factor + failing) * (1.0 + 0.1 * self._random.random())
--- a/marblefold/request_path/surroundings.py
+++ b/marblefold/request_path/surroundings.py
@@ -88,7 +88,7 @@
         if result.pressure is not None:
             nominator.note_pressure(target, result.pressure, now)
         if success:
-            nominator.note_latency(target, result.service_seconds / weight)
+            nominator.note_latency(target, result.service_seconds / weight, now)
         elif result.outcome is HopOutcome.NEVER_OFFERED and result.pressure is None:
             nominator.note_breakdown(target, now)
         elif result.outcome is HopOutcome.UNKNOWN and result.step in ("stream", "deadline"):
@@ -97,6 +97,9 @@
             # A guard that turns hops away does so for a while.
             pause = min(_SHUN_SECONDS, result.retry_after or _SHUN_SECONDS)
             nominator.note_refusal(target, now + pause)
+        elif not answered or result.answer.status >= 500:
+            # Whatever its health says, it does not serve as it should.
+            nominator.note_failure(target, now)
 
     def log_overdue(self, longest: timedelta) -> None:
         """Keeps calls visible that go on for longer than is sane."""
--- a/marblefold/request_path/target_caller.py
+++ b/marblefold/request_path/target_caller.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from typing import Callable
 
 from aiohttp.http_exceptions import HttpProcessingError
 
@@ -20,6 +21,9 @@
 # An answer up to this is read whole before its first byte goes out, so that
 # a broken one can still become a repeat or an honest 502.
 _HELD_ANSWER = 512 * 1024
+# A stream that rested for longer may be forgotten; it takes only what may run
+# twice.
+_LONGEST_REST = 0.2
 _PROMISES = (408, 421, 429, 503)
 
 
@@ -29,18 +33,28 @@
     def __init__(self, streams: TargetStreams) -> None:
         self._streams = streams
 
-    async def offer(self, exchange: Exchange, head, seconds: float):
+    async def offer(
+        self, exchange: Exchange, head, seconds: float,
+        may_send: Callable[[], bool] | None = None,
+    ):
         """The AnswerHead of the hop; the body may follow on the exchange."""
         started = time.monotonic()
         try:
-            stream = await self._streams.take()
+            # Whatever goes out on a stream that the target forgot may have run.
+            rest = None if head.mapping_kind == wire_names.READ_ONLY else _LONGEST_REST
+            stream = await self._streams.take(rest)
         except Breakdown as breakdown:
             return _never_offered(breakdown.step)
         is_kept = False
+        # Asked with the stream in hand: nothing is waited for from here on.
+        if may_send is not None and not may_send():
+            self._streams.discard(stream)
+            return _never_offered("not allowed any more")
         try:
             async with asyncio.timeout(max(0.001, seconds - (time.monotonic() - started))):
                 answer = await self._exchange(stream, exchange, head)
-                result, is_kept = await self._relay(answer, exchange)
+                result, is_kept = await self._relay(
+                    answer, exchange, head.expected_instance != "")
                 return result
         except TimeoutError:
             return _unknown("deadline")
@@ -53,7 +67,7 @@
                 self._streams.give_back(stream)
             else:
                 # Also when we were cancelled: the target then drops its work.
-                stream.close()
+                self._streams.discard(stream)
 
     async def _exchange(self, stream: TargetStream, exchange: Exchange, head) -> TargetAnswer:
         await stream.begin(pack_request(head), head.attempt_id.encode("latin-1", "replace"))
@@ -61,17 +75,19 @@
             await _send_rest(stream, exchange, head.body_length < 0)
         return await stream.answer()
 
-    async def _relay(self, answer: TargetAnswer, exchange: Exchange):
+    async def _relay(self, answer: TargetAnswer, exchange: Exchange, is_sealed: bool):
         """The word on the answer, and whether the stream may be kept."""
         if answer.is_not_executed:
             await answer.payload.read()
             result = kinds.AnswerHead(
                 outcome=HopOutcome.NOT_EXECUTED, step=f"target said {answer.status}")
+            _read_pressure(answer, result)
             return result, True
         if answer.status in _PROMISES:
             # Such a status would promise what the target did not say.
             return _unknown(f"target said {answer.status}"), False
-        if 200 <= answer.status < 300 and not _is_success(answer):
+        # Only targets of our own seal what they answer.
+        if 200 <= answer.status < 300 and is_sealed and not _is_success(answer):
             return _unknown("answer without seal"), False
         result = kinds.AnswerHead(
             outcome=HopOutcome.ANSWERED,
@@ -79,6 +95,7 @@
             reason=answer.reason.encode("latin-1", "replace"),
             header_block=make_header_block(answer.headers, ANSWER_ONLY_HERE),
         )
+        _read_pressure(answer, result)
         parts: list[bytes] = []
         size = 0
         while size <= _HELD_ANSWER:
@@ -111,11 +128,18 @@
     first = head.body
     if head.body_follows and head.body_length < 0 and first:
         first = b"%x\r\n" % len(first) + first + b"\r\n"
+    caller = b""
+    # Where no target stands beside a downstream, nobody calls.
+    if head.caller_service:
+        caller = wire_names.CALLER_SERVICE + b": " + head.caller_service.encode() + b"\r\n"
+    expected = b""
+    if head.expected_instance:
+        expected = (
+            wire_names.EXPECTED_INSTANCE + b": " + head.expected_instance.encode() + b"\r\n")
     return b"".join((
         head.method.encode(), b" ", head.path, b" HTTP/1.1\r\n", head.header_block, length,
         wire_names.DEADLINE_MS, b": %d\r\n" % head.deadline_left_ms,
-        wire_names.EXPECTED_INSTANCE, b": ", head.expected_instance.encode(), b"\r\n",
-        wire_names.CALLER_SERVICE, b": ", head.caller_service.encode(), b"\r\n\r\n",
+        expected, caller, b"\r\n",
         first,
     ))
 
@@ -129,6 +153,14 @@
         await stream.send(b"0\r\n\r\n")
 
 
+def _read_pressure(answer: TargetAnswer, result) -> None:
+    """Some targets tell how much they have on their hands."""
+    told = find_header(answer.headers, wire_names.SERVER_LOAD)
+    parts = told.split(b",") if told is not None else ()
+    if len(parts) == 3 and all(part.strip().isdigit() for part in parts):
+        result.running, result.waiting, result.slots = (int(part) for part in parts)
+
+
 def _is_success(answer: TargetAnswer) -> bool:
     if find_header(answer.headers, wire_names.SERVER_SEAL) is None:
         return False
--- /dev/null
+++ b/marblefold/site_command.py
@@ -0,0 +1,81 @@
+"""The command line over the calls for partners and owners of a running system."""
+
+import asyncio
+import json
+import os
+import sys
+from urllib.parse import quote
+
+from absl import flags
+
+from marblefold import wire_names
+
+__all__ = ["run_owners", "run_partners"]
+
+FLAGS = flags.FLAGS
+flags.DEFINE_string("registry", "", "Registry to call, HOST:PORT.")
+flags.DEFINE_string("file", "", "File with the word, as JSON.")
+
+_FINE, _REFUSED, _USAGE = 0, 1, 2
+# A withdrawal is answered once it is enforced everywhere.
+_CALL_SECONDS = 10.0
+_CREDENTIAL_VARIABLE = "MARBLEFOLD_PARTNER_CREDENTIAL"
+
+
+def run_partners(words: list[str]) -> int:
+    """partners list | grant NAME | withdraw NAME | export NAME."""
+    return _run(words, "partners list | grant NAME | withdraw NAME | export NAME", {
+        ("list",): ("GET", wire_names.PARTNERS_PATH, False),
+        ("grant", "NAME"): ("PUT", wire_names.PARTNER_PATH, True),
+        ("withdraw", "NAME"): ("DELETE", wire_names.PARTNER_PATH, False),
+        ("export", "NAME"): ("PUT", wire_names.EXPORTS_PATH, True)})
+
+
+def run_owners(words: list[str]) -> int:
+    """owners list | set."""
+    return _run(words, "owners list | set", {
+        ("list",): ("GET", wire_names.OWNERS_PATH, False),
+        ("set",): ("PUT", wire_names.OWNERS_PATH, True)})
+
+
+def _run(words: list[str], usage: str, calls: dict) -> int:
+    key = tuple(words[:1]) + tuple("NAME" for _ in words[1:])
+    call = calls.get(key)
+    if call is None or not FLAGS.registry or (call[2] and not FLAGS.file):
+        print(f"usage: python3 -m marblefold {usage} --registry=HOST:PORT [--file=FILE]",
+              file=sys.stderr)
+        return _USAGE
+    method, path, has_body = call
+    body = None
+    if has_body:
+        try:
+            with open(FLAGS.file, "rb") as file:
+                body = file.read()
+        except OSError as error:
+            print(f"{FLAGS.file}: {error.strerror}", file=sys.stderr)
+            return _USAGE
+    subject = quote(words[1], safe="") if len(words) > 1 else ""
+    return asyncio.run(_call(method, path.format(subject), body))
+
+
+async def _call(method: str, path: str, body: bytes | None) -> int:
+    import aiohttp
+
+    headers = {}
+    # Not a flag: flags are seen by everybody on the machine.
+    if os.environ.get(_CREDENTIAL_VARIABLE):
+        headers["Authorization"] = f"Bearer {os.environ[_CREDENTIAL_VARIABLE]}"
+    timeout = aiohttp.ClientTimeout(total=_CALL_SECONDS)
+    try:
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            async with session.request(
+                    method, f"http://{FLAGS.registry}{path}", data=body,
+                    headers=headers) as answer:
+                document = json.loads(await answer.read())
+                status = answer.status
+    except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+        print(f"{FLAGS.registry}: {error or 'no answer in time'}", file=sys.stderr)
+        return _USAGE
+    is_fine = status == 200
+    print(json.dumps(document, indent=2), file=sys.stdout if is_fine else sys.stderr)
+    return _FINE if is_fine else _REFUSED
--- a/marblefold/spec_store/program.py
+++ b/marblefold/spec_store/program.py
@@ -138,7 +138,7 @@
         return hold_spec(call.number, call.value)
     if call.kind == "evacuation":
         return hold_evacuation(call.value)
-    if call.kind == "maintenance":
+    if call.kind in ("maintenance", "duty"):
         return replace_at(call.number, call.value)
     return {
         "describe": keep, "window-empty": empty_for_window,
--- a/marblefold/wire_names.py
+++ b/marblefold/wire_names.py
@@ -45,15 +45,25 @@
 READY = "ready"
 DRAINING = "draining"
 
+# Fields of the platform's list of targets.
+INSTANCE_LIST = "instance-list"
+NEXT_PAGE_TOKEN = "next-page-token"
+PAGE_TOKEN = "page-token"
+
 # Fields of an answer to a refused call.
 REASON = "reason"
 
 # Calls.
 READINESS_CALL = ("GET", "/-/readiness")
+INSTANCES_CALL = ("GET", "/instances")
 SPEC_PATH = "/mesh/spec"
 TARGET_PATH = "/mesh/targets/{}"
 EVACUATION_PATH = "/mesh/evacuations/{}"
 STATE_PATH = "/mesh/state"
+PARTNERS_PATH = "/mesh/partners"
+PARTNER_PATH = "/mesh/partners/{}"
+EXPORTS_PATH = "/mesh/exports/{}"
+OWNERS_PATH = "/mesh/owners"
 MAINTENANCE_PATH = "/mesh/maintenance"
 FLOORS_PATH = "/mesh/maintenance/floors"
 WINDOW_PATH = "/mesh/maintenance/windows/{}"
--- /dev/null
+++ b/tests/simulated_terms.py
@@ -0,0 +1,145 @@
+"""Nodes, registries and one register under a clock that the test turns."""
+
+import types
+
+from marblefold.breakdowns import Breakdown
+from marblefold.gateway.partner_hops import PartnerHops
+from marblefold.inner_protocol.messages import kinds
+from marblefold.partners.document import Document
+from marblefold.partners.duty import ENFORCED_AFTER, PartnerDuty
+from marblefold.partners.merging import merge
+from marblefold.proxy.term_asker import TermAsker
+from marblefold.request_path.mesh_view import MeshView
+from marblefold.terms.granting import TermGranter
+
+HOST = "dealer"
+
+
+def make_document(prefixes):
+    return Document({"dealer": {
+        "number": 1, "hosts": [HOST], "address": "10.0.0.1:80", "credential": "",
+        "lapse-after-s": 1e6, "withdrawn": False, "lapsed": False, "reads": 1,
+        "exports-number": 1, "exports": [
+            {"host": HOST, "prefix": prefix, "kind": "read_only", "time-limit-ms": 1000,
+             "latency-ms": 100} for prefix in sorted(prefixes)]}}).pack()
+
+
+class World:
+    """The true time, the register that a majority holds, and all messages."""
+
+    def __init__(self):
+        self.now = 100.0
+        self.number, self.value = 0, b""
+        self.history = {0: frozenset()}
+        self.acknowledged = 0
+        self.pending_acknowledgements = []
+        self.forbidden_carried = 0
+        self.carried = 0
+
+    def choose(self, prefixes, rate=1.0):
+        self.number += 1
+        self.value = make_document(prefixes)
+        self.history[self.number] = frozenset(prefixes)
+        # The registry that acknowledges waits on a clock of its own.
+        at = self.now + ENFORCED_AFTER.total_seconds() / rate
+        self.pending_acknowledgements.append((at, self.number))
+
+    def turn(self, seconds):
+        self.now += seconds
+        for at, number in self.pending_acknowledgements:
+            if at <= self.now:
+                self.acknowledged = max(self.acknowledged, number)
+
+    def carry(self, prefix):
+        self.carried += 1
+        # Allowed is what some word allows that is not older than the newest
+        # one acknowledged as enforced.
+        if not any(prefix in prefixes for number, prefixes in self.history.items()
+                   if number >= self.acknowledged):
+            self.forbidden_carried += 1
+
+
+class SimulatedRegistry:
+    """The real duty and granter over a read that the test may stretch."""
+
+    def __init__(self, world, rate):
+        self.world, self.rate, self.reading = world, rate, None
+        self.is_cut = False
+        self.restart()
+
+    def restart(self):
+        self.drop_read()
+        self.duty = PartnerDuty(self, lambda: False, clock=lambda: self.world.now * self.rate)
+        self.granter = TermGranter(self.duty)
+
+    async def ask(self, kind, register, number=0, value=b""):
+        if self.is_cut:
+            raise Breakdown(kind, "cut off")
+        seen = types.SimpleNamespace(number=self.world.number, value=self.world.value)
+        await _Pause()
+        return seen
+
+    def begin_read(self):
+        self.drop_read()
+        self.reading = self.duty.step()
+        self._resume()
+
+    def end_read(self):
+        if self.reading is not None:
+            self._resume()
+
+    def drop_read(self):
+        if self.reading is not None:
+            self.reading.close()
+            self.reading = None
+
+    def _resume(self):
+        try:
+            self.reading.send(None)
+        except (StopIteration, Breakdown):
+            self.reading = None
+
+
+class _Pause:
+    def __await__(self):
+        yield
+
+
+class SimulatedNode:
+    """The real view, terms and far end of one node."""
+
+    def __init__(self, world, rate):
+        self.world, self.rate = world, rate
+        self.restart()
+
+    def restart(self):
+        self.view = MeshView("node")
+        self.asker = TermAsker("node", self.view)
+        self.hops = PartnerHops(None, None, self.view)
+        self.entered = []
+
+    @property
+    def clock(self):
+        return self.world.now * self.rate
+
+    def hear(self, number, value):
+        self.view.take(kinds.Entry(kind="partners", key="partners", number=number, value=value))
+
+    def ask(self):
+        return self.asker.ask("registry", self.clock)
+
+    def enter(self, prefix):
+        request = types.SimpleNamespace(host=HOST, path=prefix + "x")
+        mapping = self.view.find_partner_mapping(request.host, request.path, self.clock)
+        if mapping is not None:
+            self.entered.append((prefix, request))
+
+    def leave(self):
+        entered, self.entered = self.entered, []
+        for prefix, request in entered:
+            if self.hops.may_leave("dealer", "10.0.0.1:80", request, self.clock):
+                self.world.carry(prefix)
+
+
+def digest_of(world):
+    return merge(world.number, world.value).digest
--- /dev/null
+++ b/tests/test_ownership.py
@@ -0,0 +1,230 @@
+"""One owner for a service: no two sites ever serve it at the same moment."""
+
+import json
+import types
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from marblefold.breakdowns import Breakdown
+from marblefold.inner_protocol.messages import kinds
+from marblefold.ownership.agent import OWNER_PREFIX, SiteAgent
+from marblefold.ownership.claims import Claim, Owner, Verdict, find_clashes, settle
+from marblefold.request_path.guard import Guard
+from marblefold.request_path.mesh_view import MeshView
+from marblefold.terms.held_terms import Grant, HeldTerms
+
+LISTED = ("north", "south")
+WORD = json.dumps({"services": {"orders": LISTED}}).encode()
+
+
+def test_the_rule_of_claims():
+    nobody, north = Owner.read(b""), Owner("north", "n", 3, 7)
+    assert settle(LISTED, nobody, Claim("stray", "x", 0, 0), True)[0] is Verdict.REFUSED
+    assert settle(LISTED, nobody, Claim("south", "s", 0, 0), False, frozenset({"north"}))[0] \
+        is Verdict.WAITING
+    assert settle(LISTED, nobody, Claim("south", "s", 0, 0), False) == (
+        Verdict.OWNER, Owner("south", "s", 1, 0))
+    assert settle(LISTED, north, Claim("north", "n", 3, 7), False)[1].renewals == 8
+    # An empty disk, an old copy of the disk, and the same name elsewhere.
+    for claim in (Claim("north", "n", 0, 0), Claim("north", "n", 3, 6), Claim("north", "x", 3, 7)):
+        assert settle(LISTED, north, claim, False) == (Verdict.REFUSED, north)
+    assert settle(LISTED, north, Claim("south", "s", 0, 0), False)[0] is Verdict.WAITING
+    assert settle(LISTED, north, Claim("south", "s", 0, 0), True)[1].epoch == 4
+    assert settle(LISTED, north, Claim("stray", "x", 3, 7), True)[0] is Verdict.REFUSED
+
+
+def test_clashes_name_the_other_claimants():
+    claimed = {"orders": {("north", "n"), ("stray", "x")}, "quotes": {("south", "s")}}
+    assert find_clashes(claimed, {"orders": Owner("north", "n", 1, 0)}) == {"orders": ["stray@x"]}
+
+
+class Site:
+    """The real agent and guard terms of one site, on clocks of its own."""
+
+    def __init__(self, world, site, agent, rate, guard_rate, records):
+        self.world, self.site, self.rate, self.guard_rate = world, site, rate, guard_rate
+        self.agent_name, self.records = agent, records
+        self.is_cut = False
+        self.terms = HeldTerms()
+        self.start()
+
+    def start(self):
+        self.agent = SiteAgent(
+            self.site, self.agent_name, self, self.records, self.world.claimed,
+            clock=lambda: self.world.now * self.rate)
+        self.agent.take_word(WORD)
+
+    async def ask(self, kind, register, number=0, value=b""):
+        if self.is_cut:
+            raise Breakdown(kind, "cut off")
+        held = self.world.registers.setdefault(register, types.SimpleNamespace(number=0, value=b""))
+        if kind == "duty" and held.number == number:
+            held = types.SimpleNamespace(number=number + 1, value=value)
+            self.world.registers[register] = held
+            # Held, but whoever asked never hears of it.
+            if self.world.loses_answers:
+                raise Breakdown(kind, "answer lost")
+        return held
+
+    def step(self):
+        try:
+            self.agent.step("orders").send(None)
+        except (StopIteration, Breakdown):
+            pass
+
+    def renew_terms(self):
+        asking = self.terms.ask(self.world.now * self.guard_rate)
+        return Grant(asking, 0.0, "", self.agent.grants())
+
+    def epoch(self):
+        return self.terms.epoch("orders", self.world.now * self.guard_rate)
+
+
+class Disk:
+    def __init__(self, records=()):
+        self.records = dict(records)
+
+    def load(self):
+        return dict(self.records)
+
+    def write(self, name, data):
+        self.records[name] = data
+
+
+class OwnershipWorld:
+    def __init__(self, rates):
+        self.now = 50.0
+        self.registers = {}
+        self.loses_answers = False
+        self.sites = [
+            Site(self, name, agent, rates[2 * index], rates[2 * index + 1], Disk())
+            for index, (name, agent) in enumerate(
+                (("north", "n"), ("south", "s"), ("stray", "x"), ("north", "y")))]
+
+    def claimed(self):
+        return {"orders": {(site.site, site.agent_name) for site in self.sites}}
+
+    def serving(self):
+        """The sites whose guards would take an order under the epoch they hold."""
+        return [site for site in self.sites if site.epoch()]
+
+
+class Ownership(RuleBasedStateMachine):
+    """Clocks drift, sites are cut off, freeze, restart; answers and grants get lost."""
+
+    @initialize(rates=st.lists(st.floats(0.98, 1.02), min_size=8, max_size=8))
+    def begin(self, rates):
+        self.world = OwnershipWorld(rates)
+        self.grants = []
+
+    @rule(index=st.integers(0, 3), loses=st.booleans())
+    def step(self, index, loses):
+        self.world.loses_answers = loses
+        self.world.sites[index].step()
+
+    @rule(index=st.integers(0, 3))
+    def renew(self, index):
+        site = self.world.sites[index]
+        self.grants.append((site.terms, site.renew_terms()))
+
+    @rule(place=st.integers(0, 20))
+    def deliver(self, place):
+        if self.grants:
+            terms, grant = self.grants.pop(place % len(self.grants))
+            terms.take(grant, "-")
+
+    @rule(seconds=st.sampled_from([0.1, 0.7, 1.5, 3.2]))
+    def turn(self, seconds):
+        self.world.now += seconds
+
+    @rule(index=st.integers(0, 3), is_cut=st.booleans())
+    def cut(self, index, is_cut):
+        self.world.sites[index].is_cut = is_cut
+
+    @rule(index=st.integers(0, 1), is_wiped=st.booleans())
+    def restart(self, index, is_wiped):
+        site = self.world.sites[index]
+        if is_wiped:
+            site.records = Disk()
+        site.start()
+
+    @rule()
+    def copy_the_disk_of_the_owner(self):
+        real, copy = self.world.sites[0], self.world.sites[3]
+        copy.records = Disk(real.records.records)
+        copy.start()
+
+    @invariant()
+    def one_site_serves_and_never_a_stray(self):
+        if hasattr(self, "world"):
+            serving = self.world.serving()
+            assert len(serving) <= 1
+            assert self.world.sites[2] not in serving
+
+
+TestOwnership = Ownership.TestCase
+TestOwnership.settings = settings(max_examples=60, stateful_step_count=60, deadline=None)
+
+
+def frozen_owner(monkeypatch):
+    """The owner's machines sleep through their term while another takes over.
+
+    Every order is offered first where an old view points, then where the new
+    one does, as long as it was never offered: how many run it?
+    """
+    world = OwnershipWorld([1.0] * 8)
+    north, south = world.sites[:2]
+    world.sites = [north, south]
+    north.step()
+    north.terms.take(north.renew_terms(), "-")
+    assert north.epoch() == 1 and world.serving() == [north]
+    south.step()
+    world.now += 4.0
+    north.is_cut = True
+    south.step()
+    south.terms.take(south.renew_terms(), "-")
+    owner = Owner.read(world.registers[OWNER_PREFIX + "orders"].value)
+    assert (owner.site, owner.epoch) == ("south", 2) and south.epoch() == 2
+    ran = 0
+    monkeypatch.setattr(
+        "marblefold.request_path.guard.time", types.SimpleNamespace(monotonic=lambda: world.now))
+    for site, epoch_of_sender in ((north, 1), (south, 2)):
+        view = MeshView("node")
+        view.terms = site.terms
+        guard = Guard(None, view, None)
+        ran += guard._is_owner(kinds.RequestHead(upstream="orders", owner_epoch=epoch_of_sender))
+    return ran
+
+
+def test_a_frozen_owner_wakes_to_no_orders_and_each_is_placed_once(monkeypatch):
+    assert frozen_owner(monkeypatch) == 1
+    # Without the check beside the target both sites would book it.
+    monkeypatch.setattr(Guard, "_is_owner", lambda self, head: True)
+    assert frozen_owner(monkeypatch) == 2
+
+
+def test_who_goes_first_but_does_not_come_is_waited_for_no_longer():
+    world = OwnershipWorld([1.0] * 8)
+    south = world.sites[1]
+    south.step()
+    assert south.agent.verdicts["orders"] is Verdict.WAITING
+    world.now += 8.0
+    south.step()
+    assert south.agent.verdicts["orders"] is Verdict.OWNER
+
+
+def test_a_stray_with_the_same_name_never_serves_while_the_owner_renews():
+    world = OwnershipWorld([1.0] * 8)
+    north, copy = world.sites[0], world.sites[3]
+    north.step()
+    copy.records = Disk(north.records.records)
+    for _ in range(20):
+        copy.start()
+        for site in (north, copy, world.sites[2]):
+            site.step()
+            site.terms.take(site.renew_terms(), "-")
+        assert world.serving() == [north]
+        world.now += 0.7
+    assert copy.agent.verdicts["orders"] is Verdict.REFUSED
