--- a/marblefold/node_config/reading.py
+++ b/marblefold/node_config/reading.py
@@ -85,6 +85,8 @@
     app_address: Address | None
     upstream: str
     cloud: Cloud | None = None
+    # How many machines that count may be lost at once.
+    machine_losses: int = 1
     # The site that this node belongs to, and the registry that claims for it.
     site: str = ""
     site_agent: str = ""
@@ -179,9 +181,9 @@
         retry_ratio=lines.get("bounds.retry-budget-ratio", _positive),
         retry_window=lines.get("bounds.retry-window-s", _seconds),
         retry_slack=lines.get("bounds.retry-budget-slack", _positive),
-        cold_overage=lines.get("bounds.cold-overage", _positive),
-        cold_slack=lines.get("bounds.cold-slack", _positive),
-        evacuation=lines.get("bounds.evacuation-ms", _milliseconds),
+        cold_overage=lines.get("bounds.cold-overage", _positive, 1.5),
+        cold_slack=lines.get("bounds.cold-slack", _positive, 5.0),
+        evacuation=lines.get("bounds.evacuation-ms", _milliseconds, timedelta(seconds=5)),
         recovery=lines.get("bounds.recovery-s", _seconds, timedelta(seconds=15)),
     )
 
@@ -220,6 +222,7 @@
         app_address=lines.get("app-address", Address.parse, ""),
         upstream=lines.get("upstream", _word, ""),
         cloud=_read_cloud(lines),
+        machine_losses=lines.get("fault-tolerance.machine-losses", _whole, 1),
         site=lines.get("site-name", _word, ""),
         site_agent=lines.get("site-agent", lambda text: str(Address.parse(text)), ""),
     )
--- a/marblefold/registry/program.py
+++ b/marblefold/registry/program.py
@@ -31,6 +31,7 @@
 from marblefold.registry.state import describe_state
 from marblefold.registry.store_words import HeldWord, StoreWords
 from marblefold.spec_store.view import read_view
+from marblefold.task_keeper import TaskKeeper
 
 __all__ = ["RegistryProgram"]
 
@@ -49,6 +50,7 @@
             inner_address(config.host, config, STORE), self._seed_stores, self._on_word)
         self._membership = NodeMembership(watch, "registry", REGISTRY)
         self._registries: set[str] = set()
+        self._view_number = 0
         self.feed = FeedKeeper(self.catalogue, self._is_in_touch, self._count_proxies)
         self._streams: dict[MateStream, str] = {}
         self._own = inner_address(config.host, config, REGISTRY)
@@ -81,12 +83,13 @@
         await self._membership.start()
         await self._control.start(self._config.listen["control-plane"])
         log.info("serving", node=self._config.node_name, inner=inner)
-        tasks = [
-            loop.create_task(run) for run in (
-                self._watch.run(), self.words.run(), self.feed.run(), self._control.run(),
-                self._membership.run(), self.maintenance.run(), *self._extra_runs,
-                *self._sites.runs())
-        ]
+        tasks = TaskKeeper()
+        for run in (
+            self._watch.run(), self.words.run(), self.feed.run(), self._control.run(),
+            self._membership.run(), self.maintenance.run(), *self._extra_runs,
+            *self._sites.runs(),
+        ):
+            tasks.start(run)
         await self._stop.wait()
         # Calls that were read are answered; callers know other registries.
         self._control.is_leaving = True
@@ -94,8 +97,7 @@
         last = loop.time() + 2.0
         while self._control.in_progress and loop.time() < last:
             await asyncio.sleep(0.02)
-        for task in tasks:
-            task.cancel()
+        tasks.cancel()
 
     def _make_list_duty(self, config: NodeConfig) -> list:
         """Where the platform keeps the list, one registry reads it for all."""
@@ -163,6 +165,9 @@
             self._sites.take_word(word.register, word.number, word.value)
 
     def _take_view(self, word: HeldWord) -> None:
+        if word.number < self._view_number:
+            return
+        self._view_number = word.number
         members = set(read_view(word.value).members)
         self.words.stores = members
         # Registries stand on the machines of the stores.
--- a/marblefold/spec_store/program.py
+++ b/marblefold/spec_store/program.py
@@ -13,7 +13,7 @@
 from marblefold.inner_protocol.ports import STORE, inner_address
 from marblefold.logs import log
 from marblefold.node_config.watching import ConfigWatch
-from marblefold.spec_store.acceptor import Acceptor
+from marblefold.spec_store.acceptor import VIEW_REGISTER, Acceptor
 from marblefold.spec_store.ballots import Holding, read_holding
 from marblefold.spec_store.changes import (
     Change, empty_for_window, hold_evacuation, hold_spec, keep, release_from_window, replace_at)
@@ -45,7 +45,8 @@
         self._proposer = Proposer(
             self._mates, f"{self._address}/{self._acceptor.life}/{os.urandom(4).hex()}")
         self._words = ChosenWords()
-        self._upkeep = Upkeep(self._acceptor, self._mates, self._proposer, self._words, seeds)
+        self._upkeep = Upkeep(self._acceptor, self._mates, self._proposer, self._words, seeds,
+            config.machine_losses)
         self._stop = asyncio.Event()
         self._tasks: set[asyncio.Task] = set()
 
@@ -115,6 +116,7 @@
     async def _make_answer(self, stream: MateStream, call) -> kinds.WordAnswer:
         if call.kind == "watch":
             self._words.watch(stream)
+            self._tell_view(stream)
             return kinds.WordAnswer(outcome="held")
         change = _find_change(call)
         if change is None:
@@ -126,6 +128,13 @@
         self._spread(call.register, holding)
         return kinds.WordAnswer(outcome="held", number=holding.number, value=holding.value)
 
+    def _tell_view(self, stream: MateStream) -> None:
+        """The first view was never proposed: no register tells it."""
+        view = self._acceptor.view
+        if view is not None:
+            stream.send(FrameKind.TELL, 0, pack_message(kinds.Accepted(
+                register=VIEW_REGISTER, number=view.number, value=view.pack())))
+
     def _spread(self, register: str, holding: Holding) -> None:
         self._upkeep.take_chosen(register, holding)
         view = self._acceptor.view
--- a/marblefold/spec_store/upkeep.py
+++ b/marblefold/spec_store/upkeep.py
@@ -30,13 +30,16 @@
 
     def __init__(
         self, acceptor: Acceptor, mates: StoreMates, proposer: Proposer, words: ChosenWords,
-        seeds: list[str],
+        seeds: list[str], machine_losses: int = 1,
     ) -> None:
         self._acceptor = acceptor
         self._mates = mates
         self._proposer = proposer
         self._words = words
         self._seeds = seeds
+        # A majority must be left when that many lose their disks at once; the
+        # first view has no more members than there are seeds.
+        self._wanted_members = 2 * machine_losses + 1
         self._began = time.monotonic()
         self._waiting: dict[str, float] = {}
         self._unsettled: set[str] | None = None
@@ -63,6 +66,7 @@
             if acceptor.has_open_view:
                 await self._settle(VIEW_REGISTER)
             await self._settle_all()
+            await self._grow()
             await self._swap_lost()
         await self._compare()
 
@@ -119,13 +123,40 @@
             for message in answer.accepted:
                 self.take_chosen(message.register, read_holding(message))
 
+    async def _grow(self) -> None:
+        """Takes a store that waits into a view with too few members."""
+        now = time.monotonic()
+        view = self._acceptor.view
+        waiting = self._find_waiting(now)
+        if len(view.members) >= self._wanted_members or not waiting:
+            return
+        # One by one, each by the duty of one member; the register is the fence.
+        newcomer = waiting[0]
+        live = [
+            mate for mate in view.members
+            if mate == self._acceptor.address
+            or self._mates.silence(mate, self._began) <= _GONE_SECONDS]
+        if max(live, key=lambda mate: _rank(newcomer, mate)) != self._acceptor.address:
+            return
+        # Only while all the others vote: a newcomer reads from most of them.
+        if len(live) < len(view.members):
+            return
+        following = view.add(newcomer, os.urandom(16).hex())
+        holding = await self._proposer.change(
+            VIEW_REGISTER, change_view(view, following), _SETTLE_SECONDS)
+        self.take_chosen(VIEW_REGISTER, holding)
+        log.info("view grew", newcomer=newcomer, view=following.number)
+
+    def _find_waiting(self, now: float) -> list[str]:
+        return sorted(
+            mate for mate, at in self._waiting.items()
+            if now - at < _WAITING_SECONDS and mate not in self._acceptor.view.members)
+
     async def _swap_lost(self) -> None:
         """Swaps a member that is gone for a store that waits, if that is our duty."""
         now = time.monotonic()
         view = self._acceptor.view
-        waiting = sorted(
-            mate for mate, at in self._waiting.items()
-            if now - at < _WAITING_SECONDS and mate not in view.members)
+        waiting = self._find_waiting(now)
         lost = [
             mate for mate in view.members
             if mate != self._acceptor.address
--- a/marblefold/spec_store/view.py
+++ b/marblefold/spec_store/view.py
@@ -34,6 +34,14 @@
         members = tuple(newcomer if member == gone else member for member in self.members)
         return View(self.number + 1, mark, members)
 
+    def add(self, newcomer: str, mark: str) -> "View":
+        """The next view, with one member more.
+
+        Any majority of it meets any majority of this one, or the newcomer,
+        who read before it voted.
+        """
+        return View(self.number + 1, mark, self.members + (newcomer,))
+
     def pack(self) -> bytes:
         """The view as bytes."""
         return json.dumps([self.number, self.mark, list(self.members)]).encode()
--- a/tests/mesh_on_loopback.py
+++ b/tests/mesh_on_loopback.py
@@ -78,7 +78,7 @@
         attempt = headers["Attempt-Id"]
         if self.spoil == "refuse":
             return b"HTTP/1.1 503 no\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
-        self.ran.append((attempt, method, path, headers["Caller-Service"], body))
+        self.ran.append((attempt, method, path, headers.get("Caller-Service"), body))
         if self.spoil == "garble":
             return b"this is no answer\r\n\r\n"
         seal = b"" if self.spoil == "no seal" else b"Server-Seal: s\r\n"
@@ -101,9 +101,9 @@
             f"listen-addresses.control-plane={host}:{first + 1}\n{BOUNDS}{extra}")
 
 
-async def ask(host, port, method, path, headers=(), body=b""):
+async def ask(host, port, method, path, headers=(), body=b"", name="shop"):
     reader, writer = await asyncio.open_connection(host, port)
-    lines = [f"{method} {path} HTTP/1.1", "Host: shop", "Connection: close",
+    lines = [f"{method} {path} HTTP/1.1", f"Host: {name}", "Connection: close",
              f"Content-Length: {len(body)}", *headers]
     writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
     data = await reader.read()
--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,190 @@
+"""The gateway on loopback: the platform's list, straight hops, partners' doors."""
+
+import asyncio
+import json
+
+import pytest
+
+from marblefold.gateway.program import GatewayProgram
+from marblefold.registry.platform_list import read_page
+from marblefold.registry.program import RegistryProgram
+from marblefold.spec_store.program import StoreProgram
+from tests.mesh_on_loopback import CORE, FIRST_PORTS, SPEC, StandIn, ask, make_config, make_watch
+
+FRONT = "127.0.0.31"
+HOSTS = ("127.0.0.41", "127.0.0.42")
+DOOR = "127.0.0.51"
+SECRET = "secret-of-the-dealer"
+
+
+class Platform:
+    """Keeps the list, one target a page."""
+
+    def __init__(self, targets):
+        self.targets, self.states, self.calls = targets, {}, 0
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                line = (await reader.readuntil(b"\r\n\r\n")).split(b" ")[1].decode()
+                self.calls += 1
+                page = int(line.partition("page-token=")[2] or 0)
+                target = self.targets[page]
+                body = json.dumps({"instance-list": {target.instance: {
+                    "upstream": "quotes", "address": f"{target.host}:{target.port}",
+                    "zone": "hall", "config-version": "v1", "capacity-slots": 4,
+                    "state": self.states.get(target.instance, "ready"),
+                    "cold-remaining-ms": 0}},
+                    "next-page-token": str(page + 1) if page + 1 < len(self.targets) else None})
+                writer.write(f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+
+class Door(StandIn):
+    """A partner's door: it seals nothing and expects no instance."""
+
+    def answer(self, method, path, headers, body):
+        assert "Expected-Instance" not in headers
+        self.ran.append((headers["Attempt-Id"], method, path, body))
+        return (f"HTTP/1.1 200 OK\r\nAttempt-Id: {headers['Attempt-Id']}\r\n"
+                "Content-Length: 4\r\n\r\ndoor").encode()
+
+
+class GatewayMesh:
+    def __init__(self, folder):
+        first = next(FIRST_PORTS)
+        self.control, self.front, self.ready = first + 1, first + 2, first + 3
+        self.targets = [StandIn(host, first + 4) for host in HOSTS]
+        self.door = Door(DOOR, first + 4)
+        self.platform = Platform(self.targets)
+        self.platform_port = first + 4
+        cloud = f"cloud-api.address={CORE}:{first + 4}\ncloud-api.rate-per-s=4000\n"
+        core = make_config(CORE, first, f"data-directory={folder}/store\n{cloud}")
+        self.gateway = GatewayProgram(make_watch(make_config(FRONT, first, (
+            f"listen-addresses.front-http={FRONT}:{first + 2}\n"
+            f"listen-addresses.readiness={FRONT}:{first + 3}\n{cloud}"))))
+        self.programs = [StoreProgram(make_watch(core)), RegistryProgram(make_watch(core)),
+                         self.gateway]
+
+    async def until(self, condition):
+        async with asyncio.timeout(20):
+            while not condition():
+                await asyncio.sleep(0)
+
+    async def start(self):
+        for target in (*self.targets, self.door):
+            await target.start()
+        await asyncio.start_server(self.platform.serve, CORE, self.platform_port)
+        self.tasks = [asyncio.ensure_future(program.run()) for program in self.programs]
+        while True:
+            try:
+                assert (await self.put("/mesh/spec", SPEC))[0] == 200
+                break
+            except ConnectionError:
+                await asyncio.sleep(0)
+        await self.until(lambda: self.gateway.view.table
+                         and len(self.gateway.view.targets("quotes")) == 2)
+
+    async def put(self, path, document, headers=()):
+        status, _head, body = await ask(
+            CORE, self.control, "PUT", path, headers, json.dumps(document).encode())
+        return status, json.loads(body)
+
+    async def request(self, path, attempt, method="GET", host="shop", body=b""):
+        return await ask(FRONT, self.front, method, path, (
+            f"Attempt-Id: {attempt}", "Deadline-Ms: 3000", "Caller-Service: liar"), body, host)
+
+    async def stop(self):
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+
+def run(test, folder):
+    async def whole():
+        mesh = GatewayMesh(folder)
+        await mesh.start()
+        try:
+            await test(mesh)
+        finally:
+            await mesh.stop()
+    asyncio.run(whole())
+
+
+def test_requests_go_straight_to_listed_targets_and_mutating_ones_once(tmp_path):
+    async def test(mesh):
+        assert (await ask(FRONT, mesh.ready, "GET", "/-/readiness"))[0] == 200
+        status, head, body = await mesh.request("/book/x?y=1", "a1", "POST", body=b"load")
+        assert (status, body) == (200, b"done") and b"Server-Seal: s" in head
+        ran = mesh.targets[0].ran + mesh.targets[1].ran
+        assert ran == [("a1", "POST", "/book/x?y=1", None, b"load")]
+        for target in mesh.targets:
+            target.spoil = "garble"
+        assert (await mesh.request("/book/x", "a2", "POST"))[0] == 502
+        assert len(mesh.targets[0].ran + mesh.targets[1].ran) == 2
+        await mesh.request("/read/x", "a3")
+        assert len(mesh.targets[0].ran + mesh.targets[1].ran) == 4
+        for target in mesh.targets:
+            target.spoil = "refuse"
+        status, head, _body = await mesh.request("/book/x", "a4", "POST")
+        assert status == 503 and b"Retry-After" in head
+    run(test, tmp_path)
+
+
+def test_a_draining_target_is_left_and_a_vanished_one_forgotten(tmp_path):
+    async def test(mesh):
+        mesh.platform.states[mesh.targets[0].instance] = "draining"
+        await mesh.until(lambda: any(
+            target.is_draining for target in mesh.gateway.view.targets("quotes")))
+        for number in range(5):
+            assert (await mesh.request("/read/x", f"d{number}"))[0] == 200
+        assert mesh.targets[0].ran == []
+        del mesh.platform.targets[0]
+        await mesh.until(lambda: len(mesh.gateway.view.targets("quotes")) == 1)
+    run(test, tmp_path)
+
+
+def test_a_partner_is_reached_as_its_word_allows_and_no_longer(tmp_path):
+    async def test(mesh):
+        assert (await mesh.request("/open/x", "p0", host="dealer"))[0] == 404
+        status, _body = await mesh.put("/mesh/partners/dealer", {
+            "number": 1, "hosts": ["dealer"], "address": f"{DOOR}:{mesh.door.port}",
+            "credential": SECRET})
+        assert status == 200
+        word = {"number": 1, "exports": [
+            {"host": "dealer", "prefix": "/open/", "kind": "mutating"}]}
+        assert (await mesh.put("/mesh/exports/dealer", word))[0] == 401
+        proof = (f"Authorization: Bearer {SECRET}",)
+        status, held = await mesh.put("/mesh/exports/dealer", word, proof)
+        assert status == 200
+        view = mesh.gateway.view
+        await mesh.until(lambda: view.partners and view.partners.digest == held["digest"])
+        await mesh.until(lambda: view.find_partner_mapping(
+            "dealer", "/open/", asyncio.get_running_loop().time()))
+        status, _head, body = await mesh.request("/open/x", "p1", "POST", "dealer", b"batch")
+        assert (status, body) == (200, b"door")
+        assert mesh.door.ran == [("p1", "POST", "/open/x", b"batch")]
+        assert (await mesh.request("/private/x", "p2", host="dealer"))[0] == 404
+        _status, _head, shown = await ask(CORE, mesh.control, "GET", "/mesh/partners")
+        shown = json.loads(shown)
+        assert set(shown["nodes"].values()) <= {"", shown["digest"]} and SECRET not in str(shown)
+        assert "credential" not in shown["partners"]["dealer"]
+        # The answer to a withdrawal comes when it holds everywhere.
+        async with asyncio.TaskGroup() as group:
+            withdrawal = group.create_task(mesh.put(
+                "/mesh/exports/dealer", {"number": 2, "exports": []}, proof))
+            await mesh.until(lambda: not view.partners.mappings)
+            assert (await mesh.request("/open/x", "p3", "POST", "dealer"))[0] == 404
+            withdrawal.cancel()
+        assert (await mesh.put("/mesh/exports/dealer", word, proof))[0] == 409
+        assert len(mesh.door.ran) == 1
+    run(test, tmp_path)
+
+
+@pytest.mark.parametrize("body", [
+    b"{", b"[]", b'{"instance-list": {"i": {}}}', b'{"instance-list": {"i": {"upstream": "q", '
+    b'"address": "x", "zone": "z", "capacity-slots": 1, "state": "ready"}}}'])
+def test_a_page_that_cannot_be_read_is_no_page(body):
+    with pytest.raises((ValueError, TypeError, KeyError, AttributeError)):
+        read_page(body)
--- a/tests/test_store_safety.py
+++ b/tests/test_store_safety.py
@@ -134,14 +134,18 @@
         if acceptor.is_member and same and len(answers) >= acceptor.view.reading:
             acceptor.finish_reading(answers)
 
-    @rule(by=st.sampled_from(ALL), gone=st.sampled_from(ALL), newcomer=st.sampled_from(ALL))
+    @rule(by=st.sampled_from(ALL), gone=st.sampled_from(["", *ALL]),
+          newcomer=st.sampled_from(ALL))
     @precondition(lambda self: self.all_vote())
-    def swap(self, by, gone, newcomer):
+    def swap_or_grow(self, by, gone, newcomer):
         acceptor = self.stores[by].acceptor
         view = acceptor.view
-        if not acceptor.is_member or gone not in view.members or newcomer in view.members:
+        if not acceptor.is_member or newcomer in view.members:
             return
-        following = view.swap(gone, newcomer, f"{by}{self.next_number}")
+        if gone and gone not in view.members:
+            return
+        mark = f"{by}{self.next_number}"
+        following = view.swap(gone, newcomer, mark) if gone else view.add(newcomer, mark)
 
         async def run():
             holding = await self.stores[by].proposer.change(
