--- a/marblefold/http_streams/downstream_request.py
+++ b/marblefold/http_streams/downstream_request.py
@@ -8,7 +8,10 @@
 from marblefold import wire_names
 from marblefold.http_streams.heads import REQUEST_ONLY_HERE, find_header, make_header_block
 
-__all__ = ["BodyTooLarge", "DownstreamRequest"]
+__all__ = ["BodyTooLarge", "DownstreamRequest", "HeldRequest"]
+
+
+_HELD_CHUNK = 16 * 1024
 
 
 class BodyTooLarge(Exception):
@@ -87,3 +90,18 @@
         return b"".join(parts), self.is_whole
 
 
+class HeldRequest:
+    """A request whose body is at hand, to be sent as often as need be."""
+
+    def __init__(self, request: DownstreamRequest, body: bytes) -> None:
+        self.method = request.method
+        self.host = request.host
+        self.path = request.path
+        self._body = body
+        self._place = 0
+
+    async def read_chunk(self, _most: int) -> bytes:
+        """The next part of the body; nothing at its end."""
+        chunk = self._body[self._place:self._place + _HELD_CHUNK]
+        self._place += len(chunk)
+        return chunk
--- a/marblefold/inner_protocol/exchange.py
+++ b/marblefold/inner_protocol/exchange.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Callable
 
 from marblefold.breakdowns import Breakdown
-from marblefold.inner_protocol.body_pipe import FIRST_CREDIT, BodyPipe
+from marblefold.inner_protocol.body_pipe import BodyPipe
 from marblefold.inner_protocol.frames import FrameKind
 
 if TYPE_CHECKING:
@@ -20,13 +20,13 @@
 class Exchange:
     """One hop on a stream, at either end."""
 
-    def __init__(self, stream: "MateStream", number: int) -> None:
+    def __init__(self, stream: "MateStream", number: int, credit: int) -> None:
         self.stream = stream
         self.number = number
         self.answer: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
-        self.incoming = BodyPipe(self._grant)
+        self.incoming = BodyPipe(self.grant)
         self.on_cancel: Callable[[], None] | None = None
-        self._credit = FIRST_CREDIT
+        self._credit = credit
         self._credit_waiter: asyncio.Future | None = None
         self.broken: Breakdown | None = None
         # Whether the request may go elsewhere while this mate is silent.
@@ -70,7 +70,8 @@
         """The exchange is over at this end."""
         self.stream.forget(self.number)
 
-    def _grant(self, size: int) -> None:
+    def grant(self, size: int) -> None:
+        """Lets the mate send more of the body."""
         self.stream.send(FrameKind.CREDIT, self.number, _CREDIT.pack(size))
 
     def _wake_sender(self) -> None:
--- a/marblefold/inner_protocol/mate_stream.py
+++ b/marblefold/inner_protocol/mate_stream.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from marblefold.breakdowns import Breakdown
+from marblefold.inner_protocol.body_pipe import FIRST_CREDIT
 from marblefold.inner_protocol.exchange import Exchange, take_frame
 from marblefold.inner_protocol.frames import Frame, FrameKind, FrameReader, pack_frame
 
@@ -95,7 +96,8 @@
     def open_exchange(self) -> Exchange:
         """Begins a hop toward the mate."""
         self._next_number += 1
-        exchange = Exchange(self, self._next_number)
+        # The guard lets a body come when it has a place for it.
+        exchange = Exchange(self, self._next_number, 0)
         self._exchanges[exchange.number] = exchange
         return exchange
 
@@ -149,7 +151,7 @@
     def _take(self, frame: Frame) -> None:
         kind, number, payload = frame
         if kind == FrameKind.HEAD:
-            exchange = Exchange(self, number)
+            exchange = Exchange(self, number, FIRST_CREDIT)
             self._exchanges[number] = exchange
             self._owner.on_hop(exchange, payload)
         elif kind == FrameKind.PING:
--- a/marblefold/node_config/reading.py
+++ b/marblefold/node_config/reading.py
@@ -56,6 +56,7 @@
 
     memory_mb: float
     file_descriptors: int
+    link_mbps: float = 1000.0
 
 
 class Cloud(NamedTuple):
@@ -160,6 +161,9 @@
         except ValueError as error:
             raise Breakdown("config", f"field {name} is bad: {error}") from error
 
+    def __contains__(self, name: str) -> bool:
+        return name in self._values
+
     def under(self, prefix: str) -> dict:
         """All fields that begin with the prefix, by what follows it."""
         return {
@@ -170,6 +174,9 @@
 
 
 def _read_bounds(lines: _Lines) -> Bounds:
+    # Where the platform keeps the list there is no evacuation and no cold limit.
+    is_mesh = "cloud-api.address" not in lines
+    defaults = (None, None, None) if is_mesh else (1.5, 5.0, timedelta(seconds=5))
     return Bounds(
         contact_window=lines.get("bounds.contact-window-ms", _milliseconds),
         acknowledgement_time=lines.get("bounds.ack-timeout-ms", _milliseconds),
@@ -181,9 +188,9 @@
         retry_ratio=lines.get("bounds.retry-budget-ratio", _positive),
         retry_window=lines.get("bounds.retry-window-s", _seconds),
         retry_slack=lines.get("bounds.retry-budget-slack", _positive),
-        cold_overage=lines.get("bounds.cold-overage", _positive, 1.5),
-        cold_slack=lines.get("bounds.cold-slack", _positive, 5.0),
-        evacuation=lines.get("bounds.evacuation-ms", _milliseconds, timedelta(seconds=5)),
+        cold_overage=lines.get("bounds.cold-overage", _positive, defaults[0]),
+        cold_slack=lines.get("bounds.cold-slack", _positive, defaults[1]),
+        evacuation=lines.get("bounds.evacuation-ms", _milliseconds, defaults[2]),
         recovery=lines.get("bounds.recovery-s", _seconds, timedelta(seconds=15)),
     )
 
@@ -217,6 +224,7 @@
         limits=Limits(
             memory_mb=lines.get("limits.memory-mb", _positive),
             file_descriptors=lines.get("limits.max-file-descriptors", _whole),
+            link_mbps=lines.get("limits.link-mbps", _positive, 1000.0),
         ),
         data_directory=lines.get("data-directory", _word, ""),
         app_address=lines.get("app-address", Address.parse, ""),
--- a/marblefold/proxy/program.py
+++ b/marblefold/proxy/program.py
@@ -51,7 +51,8 @@
         self.is_leaving = False
         self.view = MeshView(config.node_name)
         self.target = LocalTarget(self._on_target_change)
-        self.guard = Guard(self.target, self.view, config.bounds)
+        self.guard = Guard(
+            self.target, self.view, config.bounds, config.limits.link_mbps * 125_000)
         self._notices = NoticeMaker(config, self.target)
         self.follower = RegistryFollower(
             config.node_name,
--- a/marblefold/request_path/executor.py
+++ b/marblefold/request_path/executor.py
@@ -4,7 +4,8 @@
 import time
 
 from marblefold.http_streams.answer import Answer, own_answer
-from marblefold.http_streams.downstream_request import BodyTooLarge, DownstreamRequest
+from marblefold.http_streams.downstream_request import (
+    BodyTooLarge, DownstreamRequest, HeldRequest)
 from marblefold.inner_protocol.messages import kinds
 from marblefold.logs import log
 from marblefold.operator_spec.rows import Mapping
@@ -18,6 +19,8 @@
 
 # A body up to this is held, so that it can be offered once more.
 _HELD_BODY = 512 * 1024
+# A body up to this goes with its head; a larger one comes when it is let.
+_INLINE_BODY = 16 * 1024
 _NO_DEADLINE_SECONDS = 600.0
 
 
@@ -90,11 +93,14 @@
                 if step.answer.status < 300:
                     surroundings.note_answer(mapping.name, len(step.answer.body) / 1024)
                 return step.answer
-            result = await self._hop(step, head, request, decision, body_limit)
+            # What is held whole can be sent again from its beginning.
+            sent = HeldRequest(request, body) if is_whole and head.body_follows else request
+            result = await self._hop(step, head, sent, decision, body_limit)
             decision.note(step.target, result)
 
     async def _hop(
-        self, offer: Offer, head, request: DownstreamRequest, decision: RequestDecision,
+        self, offer: Offer, head, request: DownstreamRequest | HeldRequest,
+        decision: RequestDecision,
         body_limit: int,
     ) -> HopResult:
         target = offer.target
@@ -108,7 +114,7 @@
         # Anything beyond the first offer may arrive at a target as a repeat.
         if offer.attempt_number > 1:
             surroundings.note_repeat(target.upstream, time.monotonic())
-        ticket = surroundings.begin(target, decision.weight, request.attempt_id)
+        ticket = surroundings.begin(target, decision.weight, head.attempt_id)
         result = HopResult(HopOutcome.UNKNOWN, step="cancelled")
         try:
             result = await self.hops.send(
@@ -165,8 +171,8 @@
             spec_number=self._surroundings.view.table.number,
             owner_epoch=owner.epoch if owner is not None else 0,
             priority=1 + max(0, mapping.priority),
-            body=body,
-            body_follows=not is_whole,
+            body=body if not is_whole or len(body) <= _INLINE_BODY else b"",
+            body_follows=not is_whole or len(body) > _INLINE_BODY,
             body_length=length,
         )
 
--- a/marblefold/request_path/guard.py
+++ b/marblefold/request_path/guard.py
@@ -14,6 +14,7 @@
 from marblefold.inner_protocol.messages import kinds
 from marblefold.node_config.reading import Address, Bounds
 from marblefold.request_path.cold_limit import ColdLimit
+from marblefold.request_path.intake import Intake
 from marblefold.request_path.local_target import LocalTarget, TargetState
 from marblefold.request_path.mesh_view import MeshView
 from marblefold.request_path.outcome import HopOutcome
@@ -39,13 +40,17 @@
 class Guard:
     """Asks nobody else whether a hop may go to the target."""
 
-    def __init__(self, target: LocalTarget, view: MeshView, bounds: Bounds) -> None:
+    def __init__(
+        self, target: LocalTarget, view: MeshView, bounds: Bounds,
+        link_bytes_per_second: float = 1e9,
+    ) -> None:
         self.cold = ColdLimit()
         self.slots = SlotQueue(1)
         self.work = RunningWork()
         self._target = target
         self._view = view
         self._bounds = bounds
+        self._intake = Intake(link_bytes_per_second)
         self._streams: TargetStreams | None = None
         self._caller: TargetCaller | None = None
         self._tasks: set[asyncio.Task] = set()
@@ -68,7 +73,7 @@
         if self._streams is not None:
             self._streams.close()
         self._streams = TargetStreams(address)
-        self._caller = TargetCaller(self._streams)
+        self._caller = TargetCaller(self._streams, self._intake)
 
     def on_hop(self, exchange: Exchange, payload: bytes) -> None:
         """A hop has come from a mate."""
