--- a/marblefold/proxy/program.py
+++ b/marblefold/proxy/program.py
@@ -65,7 +65,8 @@
             self.view, nominator, config.bounds, config.limits)
         self._mates = MateBook(self)
         self._hops = HopSender(
-            self._mates, lambda mate: nominator.note_silent(mate, time.monotonic()))
+            self._mates, lambda mate: nominator.note_silent(mate, time.monotonic()),
+            config.limits.link_mbps * 125_000)
         self.executor = RequestExecutor(
             self.surroundings, self._hops, self.guard.work, config.upstream)
         self.view.on_partners = self._open_partner_door
--- a/marblefold/request_path/hop_sender.py
+++ b/marblefold/request_path/hop_sender.py
@@ -21,6 +21,8 @@
 # and counts as silent when none comes in time.
 _QUIET_SECONDS = 0.15
 _PATIENCE_SECONDS = 0.3
+# A sign of life may stand behind so much else on a narrow link.
+_AHEAD_BYTES = 96 * 1024
 _LOOK_SECONDS = 0.1
 # How long after the deadline the guard's own word is still waited for.
 _GUARD_WORD_SECONDS = 0.03
@@ -37,8 +39,12 @@
 class HopSender:
     """Carries hops over the streams to mates."""
 
-    def __init__(self, mates: MateBook, on_silent: Callable[[str], None]) -> None:
+    def __init__(
+        self, mates: MateBook, on_silent: Callable[[str], None],
+        link_bytes_per_second: float = 1e9,
+    ) -> None:
         self._mates = mates
+        self._patience = _PATIENCE_SECONDS + _AHEAD_BYTES / max(1.0, link_bytes_per_second)
         self._on_silent = on_silent
 
     async def run(self) -> None:
@@ -51,7 +57,7 @@
             await asyncio.sleep(_LOOK_SECONDS)
             now = time.monotonic()
             for stream in self._mates.streams():
-                if stream.is_silent(now, _QUIET_SECONDS, _PATIENCE_SECONDS):
+                if stream.is_silent(now, _QUIET_SECONDS, self._patience):
                     self._on_silent(stream.mate)
                     stream.break_off_repeatable(Breakdown("silent", "no sign of life", stream.mate))
 
