--- a/marblefold/gateway/program.py
+++ b/marblefold/gateway/program.py
@@ -33,7 +33,7 @@
 # loop take a few more.
 _KEPT_FOR_FILES = 200
 _KEPT_FOR_OURSELVES = 14
-_TARGET_SHARE = 0.45
+_TARGET_SHARE = 0.5
 
 
 class GatewayProgram:
--- a/marblefold/registry/program.py
+++ b/marblefold/registry/program.py
@@ -35,7 +35,7 @@
 
 __all__ = ["RegistryProgram"]
 
-_LIST_SETTLING = timedelta(seconds=1)
+_LIST_SETTLING = timedelta(milliseconds=300)
 
 
 class RegistryProgram:
--- a/marblefold/request_path/surroundings.py
+++ b/marblefold/request_path/surroundings.py
@@ -21,7 +21,7 @@
 # What one request may hold at the most, on average: two descriptors, and its
 # part of the memory that the program itself does not need.
 _DESCRIPTORS_EACH = 2
-_DESCRIPTORS_KEPT = 250
+_DESCRIPTORS_KEPT = 214
 _MEMORY_SHARE = 0.5
 _MEMORY_MB_EACH = 0.15
 
