--- a/marblefold/proxy/wants.py
+++ b/marblefold/proxy/wants.py
@@ -39,7 +39,7 @@
         if wanted is None or (wanted.entry.life, wanted.entry.number) < version:
             wanted = self._wanted[key] = _Wanted(entry)
         if (wanted.entry.life, wanted.entry.number) == version:
-            wanted.mates.append(mate)
+            wanted.mates.insert(0, mate)
         self._ask(wanted, now)
 
     def repeat(self, now: float) -> None:
