Take a body in before it holds a slot

Bodies keep log-desk links four fifths busy, and each held one of five slots while it waited for the link.

--- a/marblefold/request_path/guard.py
+++ b/marblefold/request_path/guard.py
@@ -76,7 +76,7 @@
         if self._streams is not None:
             self._streams.close()
         self._streams = TargetStreams(address)
-        self._caller = TargetCaller(self._streams, self._intake)
+        self._caller = TargetCaller(self._streams)
 
     def on_hop(self, exchange: Exchange, payload: bytes) -> None:
         """A hop has come from a mate."""
@@ -109,7 +109,7 @@
         try:
             answer = await self._pass(exchange, head, time.monotonic())
             answer.running = self.slots.running
-            answer.waiting = self.slots.waiting
+            answer.waiting = self.slots.waiting + self._intake.waiting
             answer.slots = self.slots.limit
             # A body that followed its head was sent with it.
             if not answer.body_follows:
@@ -129,7 +129,13 @@
         # By rank, then by whose aim ends first: short calls, which others
         # wait for in the midst of their work, are not held up by long ones.
         turn = Turn(head.priority, came + head.aim_left_ms / 1000.0)
-        if not await self.slots.take(turn, head.queue_left_ms / 1000.0):
+        longest = head.queue_left_ms / 1000.0
+        if head.body_follows and self.slots.expected_wait(turn) <= longest:
+            # Its bytes are worth the link only where a slot is likely.
+            step = await self._intake.take(exchange, head, deadline - came)
+            if step:
+                return _refuse(step, _REFUSED_RETRY_SECONDS)
+        if not await self.slots.take(turn, longest):
             return _refuse("no slot in time", max(
                 _REFUSED_RETRY_SECONDS, self.slots.expected_wait(turn)))
         started = time.monotonic()
@@ -148,7 +154,8 @@
             self._offered[exchange] = started
             self.work.begin(run)
             exchange.is_repeatable = head.mapping_kind == wire_names.READ_ONLY
-            answer = await self._caller.offer(exchange, head, left)
+            is_owner = (lambda: self._is_owner(head)) if head.owner_epoch else None
+            answer = await self._caller.offer(exchange, head, left, is_owner)
         finally:
             self._offered.pop(exchange, None)
             self.work.end(run)
--- a/marblefold/request_path/intake.py
+++ b/marblefold/request_path/intake.py
@@ -1,44 +1,66 @@
-"""Lets only so many bodies come in at once, so that they do not choke a link.
+"""Takes bodies in, a few at a time, so that they do not choke a link.
 
 A machine's link carries every hop to its target.  Bodies that all come at the
 same time take as long together as one after the other, and meanwhile nothing
-else gets through; in turn, each is whole sooner.
+else gets through; in turn, each is whole sooner.  A body that is on its way
+holds no slot: the target gets it whole, at once.
 """
 
 import asyncio
-from typing import Callable
 
-__all__ = ["Intake", "WINDOW"]
+from marblefold.breakdowns import Breakdown
+from marblefold.inner_protocol.exchange import Exchange
+
+__all__ = ["Intake"]
 
 # What one body may have on its way before the guard has taken it.
-WINDOW = 24 * 1024
+_WINDOW = 24 * 1024
 # What all of them together may keep the link busy for.
 _LINK_SECONDS = 0.2
 _FEWEST, _MOST = 2, 64
 # A body whose sender is slow does not hold up the others for longer.
 _LONGEST_WAIT = 1.0
+# A larger body, or one without a length, goes through as it comes.
+_LARGEST_HELD = 512 * 1024
 
 
 class Intake:
     """Places for bodies on their way in."""
 
     def __init__(self, link_bytes_per_second: float) -> None:
-        places = int(link_bytes_per_second * _LINK_SECONDS / WINDOW)
+        places = int(link_bytes_per_second * _LINK_SECONDS / _WINDOW)
         self._places = asyncio.Semaphore(max(_FEWEST, min(_MOST, places)))
+        self.waiting = 0
 
-    async def enter(self) -> Callable[[], None]:
-        """Waits for a place; what it gives is called once the body is in."""
+    async def take(self, exchange: Exchange, head, seconds: float) -> str:
+        """Takes the body into the head; the step that broke down, or nothing."""
+        if not 0 <= head.body_length <= _LARGEST_HELD:
+            exchange.grant(_WINDOW)
+            return ""
+        self.waiting += 1
+        has_place = False
         try:
-            async with asyncio.timeout(_LONGEST_WAIT):
-                await self._places.acquire()
+            async with asyncio.timeout(seconds):
+                has_place = await self._enter()
+                exchange.grant(_WINDOW)
+                parts = [head.body]
+                while chunk := await exchange.incoming.read():
+                    parts.append(chunk)
         except TimeoutError:
-            return lambda: None
-        left = False
-
-        def leave() -> None:
-            nonlocal left
-            if not left:
-                left = True
+            return "body too slow"
+        except Breakdown as breakdown:
+            return breakdown.step
+        finally:
+            self.waiting -= 1
+            if has_place:
                 self._places.release()
+        head.body = b"".join(parts)
+        head.body_follows = False
+        return "" if len(head.body) == head.body_length else "body not whole"
 
-        return leave
+    async def _enter(self) -> bool:
+        try:
+            async with asyncio.timeout(_LONGEST_WAIT):
+                return await self._places.acquire()
+        except TimeoutError:
+            return False
--- a/marblefold/request_path/target_caller.py
+++ b/marblefold/request_path/target_caller.py
@@ -14,7 +14,6 @@
 from marblefold.inner_protocol.frames import FrameKind
 from marblefold.inner_protocol.exchange import Exchange
 from marblefold.inner_protocol.messages import kinds
-from marblefold.request_path.intake import WINDOW, Intake
 from marblefold.request_path.outcome import HopOutcome
 
 __all__ = ["TargetCaller", "pack_request"]
@@ -31,9 +30,8 @@
 class TargetCaller:
     """Talks HTTP to the target beside this proxy."""
 
-    def __init__(self, streams: TargetStreams, intake: Intake | None = None) -> None:
+    def __init__(self, streams: TargetStreams) -> None:
         self._streams = streams
-        self._intake = intake
 
     async def offer(
         self, exchange: Exchange, head, seconds: float,
@@ -41,20 +39,6 @@
     ):
         """The AnswerHead of the hop; the body may follow on the exchange."""
         started = time.monotonic()
-        leave = _nothing
-        if head.body_follows and self._intake is not None:
-            # Before the target hears of it: a body that waits runs nowhere.
-            leave = await self._intake.enter()
-            exchange.grant(WINDOW)
-        try:
-            return await self._offer(exchange, head, seconds, started, may_send, leave)
-        finally:
-            leave()
-
-    async def _offer(
-        self, exchange: Exchange, head, seconds: float, started: float,
-        may_send: Callable[[], bool] | None, leave: Callable[[], None],
-    ):
         try:
             # Whatever goes out on a stream that the target forgot may have run.
             rest = None if head.mapping_kind == wire_names.READ_ONLY else _LONGEST_REST
@@ -68,7 +52,7 @@
             return _never_offered("not allowed any more")
         try:
             async with asyncio.timeout(max(0.001, seconds - (time.monotonic() - started))):
-                answer = await self._exchange(stream, exchange, head, leave)
+                answer = await self._exchange(stream, exchange, head)
                 result, is_kept = await self._relay(
                     answer, exchange, head.expected_instance != "")
                 return result
@@ -85,13 +69,10 @@
                 # Also when we were cancelled: the target then drops its work.
                 self._streams.discard(stream)
 
-    async def _exchange(
-        self, stream: TargetStream, exchange: Exchange, head, leave: Callable[[], None],
-    ) -> TargetAnswer:
+    async def _exchange(self, stream: TargetStream, exchange: Exchange, head) -> TargetAnswer:
         await stream.begin(pack_request(head), head.attempt_id.encode("latin-1", "replace"))
         if head.body_follows:
             await _send_rest(stream, exchange, head.body_length < 0)
-            leave()
         return await stream.answer()
 
     async def _relay(self, answer: TargetAnswer, exchange: Exchange, is_sealed: bool):
@@ -137,10 +118,6 @@
         return result, True
 
 
-def _nothing() -> None:
-    """Leaves no place, since none was taken."""
-
-
 def pack_request(head) -> bytes:
     """The request as the target gets it, with the body that is at hand."""
     length = b""
--- a/tests/test_guard_parts.py
+++ b/tests/test_guard_parts.py
@@ -6,7 +6,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from marblefold.breakdowns import Breakdown
+from marblefold.inner_protocol.body_pipe import BodyPipe
+from marblefold.inner_protocol.messages import kinds
 from marblefold.request_path.cold_limit import ColdLimit
+from marblefold.request_path.intake import Intake
 from marblefold.request_path.local_target import Beat, LocalTarget, TargetState
 from marblefold.request_path.retry_budget import RetryBudget
 from marblefold.request_path.slot_queue import SlotQueue, Turn
@@ -129,3 +133,39 @@
         inside = sum(1 for at in repeats if end - window <= at <= end)
         near = sum(1 for at in requests if end - 1.5 * window <= at <= end)
         assert inside <= ratio * near + slack
+
+
+class BodyExchange:
+    """An exchange whose mate sends what it was granted."""
+
+    def __init__(self, body):
+        self.incoming, self.granted, self.body = BodyPipe(), 0, body
+
+    def grant(self, size):
+        self.granted += size
+
+    def send_all(self):
+        self.incoming.feed(self.body)
+        self.incoming.finish()
+
+
+def test_bodies_come_in_a_few_at_a_time_and_only_whole():
+    async def test():
+        intake = Intake(1.0)
+        exchanges = [BodyExchange(b"photo") for _ in range(3)]
+        heads = [kinds.RequestHead(body_follows=True, body_length=5) for _ in exchanges]
+        tasks = [asyncio.ensure_future(intake.take(exchange, head, 30.0))
+                 for exchange, head in zip(exchanges, heads)]
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        # Two places on a narrow link: the third is not let to send yet.
+        assert [exchange.granted > 0 for exchange in exchanges] == [True, True, False]
+        exchanges[0].send_all()
+        exchanges[1].incoming.break_off(Breakdown("body", "left"))
+        assert await tasks[0] == "" and heads[0].body == b"photo" and not heads[0].body_follows
+        assert await tasks[1] == "body" and heads[1].body_follows
+        exchanges[2].body = b"pho"
+        exchanges[2].send_all()
+        assert await tasks[2] == "body not whole"
+        assert intake.waiting == 0
+    asyncio.run(test())
