--- a/marblefold/gateway/program.py
+++ b/marblefold/gateway/program.py
@@ -49,7 +49,7 @@
         self.follower = RegistryFollower(
             config.node_name, self._seed_registries, self.view, most=GATEWAY_FOLLOWS,
             asker=TermAsker(config.node_name, self.view))
-        nominator = Nominator(self.view, config.zone, subset_of=config.node_name)
+        nominator = Nominator(self.view, config.zone, subset_of=config.node_name, has_guards=False)
         free = config.limits.file_descriptors - _KEPT_FOR_FILES - _KEPT_FOR_OURSELVES
         for_targets = max(4, int(free * _TARGET_SHARE))
         self.surroundings = Surroundings(self.view, nominator, config.bounds, config.limits)
--- a/marblefold/proxy/registry_follower.py
+++ b/marblefold/proxy/registry_follower.py
@@ -24,6 +24,7 @@
 # lost, is passed over for a while where others can be followed.
 _SILENT_SECONDS = 2.5
 _PASS_OVER_SECONDS = 3.0
+_COUNTING_SECONDS = 3.0
 
 
 class FeedTaker(Protocol):
@@ -58,7 +59,7 @@
         self._following: set[str] = set()
         self._touched: dict[str, float] = {}
         self._heard: dict[str, float] = {}
-        self._told_proxies: dict[str, int] = {}
+        self._counted_since = 0.0
         self._passed_over: dict[str, float] = {}
 
     @property
@@ -159,20 +160,24 @@
         self._places[stream.mate] = (feed.registry_life, feed.place)
         if feed.in_touch:
             self._touched[stream.mate] = time.monotonic()
-        if feed.proxies:
-            # Of several counts the largest is the careful one.
-            self._told_proxies[stream.mate] = feed.proxies
-            self._view.proxies = max(self._told_proxies.values())
+        self._take_count(feed.proxies, time.monotonic())
         for entry in feed.entries:
             if entry.deferred:
                 self._wants.hear(stream.mate, entry, time.monotonic())
             else:
                 self._view.take(entry)
 
+    def _take_count(self, proxies: int, now: float) -> None:
+        """How many share the budget of further tries with us."""
+        self._counted_since = self._counted_since or now
+        # Registries that start together with us count up from nothing; and of
+        # several counts, over time too, the largest is the careful one.
+        if now - self._counted_since >= _COUNTING_SECONDS:
+            self._view.proxies = max(self._view.proxies, proxies)
+
     def on_lost(self, stream: MateStream) -> None:
         """A registry is out of reach; the rounds will find it again."""
         self._following.discard(stream.mate)
-        self._told_proxies.pop(stream.mate, None)
         log.info("registry lost", mate=stream.mate)
 
     def on_hop(self, exchange: Exchange, payload: bytes) -> None:
--- a/marblefold/request_path/nomination.py
+++ b/marblefold/request_path/nomination.py
@@ -43,8 +43,12 @@
 
     def __init__(
         self, view: MeshView, zone: str, seed: int | None = None, subset_of: str = "",
+        has_guards: bool = True,
     ) -> None:
         self._view = view
+        # Beside a guard a draining target is a last resort: the guard knows for
+        # how long. Without one it is none.
+        self._has_guards = has_guards
         self._zone = zone
         self._records: dict[str, TargetRecord] = {}
         self._usual: dict[str, float] = {}
@@ -67,7 +71,8 @@
             if not is_eligible(target, self._view.evacuated, homes, owner):
                 continue
             if is_last_resort(target):
-                ending.append(target)
+                if self._has_guards:
+                    ending.append(target)
             elif self._is_doubtful(target, now):
                 shunned.append(target)
             else:
--- a/tests/test_nomination.py
+++ b/tests/test_nomination.py
@@ -107,3 +107,11 @@
         assert streams.idle_count == 0
         server.close()
     asyncio.run(test())
+
+
+def test_without_guards_a_draining_target_is_no_resort_at_all():
+    for has_guards in (True, False):
+        nominator, targets = make_nominator(1, has_guards=has_guards)
+        targets[0] = targets[0]._replace(is_draining=True)
+        nominee = nominator.nominate("quotes", (), None, 1.0, 1.0)
+        assert (nominee is not None) == has_guards
