--- a/tests/mesh_on_loopback.py
+++ b/tests/mesh_on_loopback.py
@@ -115,18 +115,24 @@
 class Mesh:
     """One core machine and two sidecars with their targets."""
 
-    def __init__(self, folder):
+    def __init__(self, folder, sites=("", "")):
         self.news = asyncio.Event()
         first = next(FIRST_PORTS)
         self.control, self.outbound, self.ready = first + 1, first + 2, first + 3
         self.targets = [StandIn(host, first + 4) for host in SIDES]
         core = make_config(CORE, first, f"data-directory={folder}/store\n")
         self.store = StoreProgram(make_watch(core))
-        self.registry = RegistryProgram(make_watch(core))
+        # The registry is the agent of the first machine's site, if there is one.
+        site = f"site-name={sites[0]}\n" if sites[0] else ""
+        self.registry = RegistryProgram(make_watch(
+            make_config(CORE, first, f"data-directory={folder}/registry\n{site}")))
+        agents = (f"{CORE}:{first + 6}", f"127.0.0.99:{first + 6}")
         self.proxies = [ProxyProgram(make_watch(make_config(host, first, (
             f"listen-addresses.outbound={host}:{first + 2}\n"
             f"listen-addresses.readiness={host}:{first + 3}\n"
-            f"app-address={host}:{first + 4}\nupstream=quotes\n")))) for host in SIDES]
+            f"app-address={host}:{first + 4}\nupstream=quotes\n"
+            + (f"site-name={site}\nsite-agent={agent}\n" if site else "")))))
+            for host, site, agent in zip(SIDES, sites, agents)]
         for proxy in self.proxies:
             self.watch(proxy.view)
 
--- a/tests/test_whole_mesh.py
+++ b/tests/test_whole_mesh.py
@@ -6,12 +6,13 @@
 from datetime import datetime, timedelta, timezone
 
 from marblefold.maintenance.planning import LiveSlots
+from marblefold.request_path.mesh_view import KnownOwner
 from tests.mesh_on_loopback import CORE, SIDES, SPEC, Mesh, ask
 
 
-def run(test, folder):
+def run(test, folder, sites=("", "")):
     async def whole():
-        mesh = Mesh(folder)
+        mesh = Mesh(folder, sites)
         await mesh.start()
         try:
             await test(mesh)
@@ -132,3 +133,39 @@
         status, _shown, errors = await windows(mesh, "set", "x", "--zone=nowhere", *wish[1:])
         assert status == 1 and "zone" in errors
     run(test, tmp_path)
+
+
+def test_a_stray_site_is_refused_as_owner_and_each_order_is_placed_once(tmp_path):
+    async def test(mesh):
+        word = {"number": 1, "services": {"quotes": ["north"]}}
+        body = json.dumps(word).encode()
+        assert (await ask(CORE, mesh.control, "PUT", "/mesh/owners", body=body))[0] == 200
+        real, stray = mesh.proxies
+        clock = asyncio.get_running_loop().time
+        await mesh.until(lambda: all(
+            proxy.view.owners.get("quotes", (0, 0, 0))[2] == 1 for proxy in mesh.proxies))
+        async with asyncio.timeout(20):
+            while not real.view.terms.epoch("quotes", clock()):
+                await asyncio.sleep(0)
+        for number in range(6):
+            status, _head, _body = await request(
+                mesh, "/book/x", f"o{number}", "POST", body=b"order", side=number % 2)
+            assert status == 200
+        # Also those that came in beside the stray went to the owner, once each.
+        assert sorted(ran[0] for ran in mesh.targets[0].ran) == [f"o{n}" for n in range(6)]
+        assert mesh.targets[1].ran == []
+        # A node whose view is wrong sends one to the stray: its guard refuses.
+        stray.view.owners["quotes"] = KnownOwner("stray", "127.0.0.99:1", 1)
+        for target in list(stray.view._targets["quotes"].values()):
+            stray.view._targets["quotes"][target.node] = target._replace(
+                site="stray", site_agent="127.0.0.99:1")
+        del stray.view._targets["quotes"][f"n-{SIDES[0]}"]
+        status, head, _body = await request(mesh, "/book/x", "late", "POST", side=1)
+        assert status == 503 and b"Retry-After" in head and mesh.targets[1].ran == []
+        shown = json.loads((await ask(CORE, mesh.control, "GET", "/mesh/owners"))[2])
+        owned = shown["services"]["quotes"]
+        assert owned["owner"] == "north" and owned["clash-with"][0].startswith("stray@")
+        assert (await ask(CORE, mesh.control, "PUT", "/mesh/owners", body=json.dumps(
+            {"number": 1, "services": {"quotes": ["stray"]}}).encode()))[0] == 409
+        assert (await ask(CORE, mesh.control, "PUT", "/mesh/owners", body=b'{"number": 2}'))[0] == 400
+    run(test, tmp_path, ("north", "stray"))
