--- a/tests/mesh_on_loopback.py
+++ b/tests/mesh_on_loopback.py
@@ -86,6 +86,16 @@
                 + seal + b"\r\ndone")
 
 
+class Door(StandIn):
+    """A partner's door: it seals nothing and expects no instance."""
+
+    def answer(self, method, path, headers, body):
+        assert "Expected-Instance" not in headers
+        self.ran.append((headers["Attempt-Id"], method, path, body))
+        return (f"HTTP/1.1 200 OK\r\nAttempt-Id: {headers['Attempt-Id']}\r\n"
+                "Content-Length: 4\r\n\r\ndoor").encode()
+
+
 def make_watch(text):
     config = parse_config(text)
 
@@ -124,6 +134,7 @@
         self.store = StoreProgram(make_watch(core))
         # The registry is the agent of the first machine's site, if there is one.
         site = f"site-name={sites[0]}\n" if sites[0] else ""
+        self.door = Door("127.0.0.51", first + 4)
         self.registry = RegistryProgram(make_watch(
             make_config(CORE, first, f"data-directory={folder}/registry\n{site}")))
         agents = (f"{CORE}:{first + 6}", f"127.0.0.99:{first + 6}")
@@ -154,7 +165,7 @@
                 await self.news.wait()
 
     async def start(self):
-        for target in self.targets:
+        for target in (*self.targets, self.door):
             await target.start()
         loop = asyncio.get_running_loop()
         self.tasks = [loop.create_task(program.run()) for program in (
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -9,7 +9,8 @@
 from marblefold.registry.platform_list import read_page
 from marblefold.registry.program import RegistryProgram
 from marblefold.spec_store.program import StoreProgram
-from tests.mesh_on_loopback import CORE, FIRST_PORTS, SPEC, StandIn, ask, make_config, make_watch
+from tests.mesh_on_loopback import (
+    CORE, FIRST_PORTS, SPEC, Door, StandIn, ask, make_config, make_watch)
 
 FRONT = "127.0.0.31"
 HOSTS = ("127.0.0.41", "127.0.0.42")
@@ -41,16 +42,6 @@
             writer.close()
 
 
-class Door(StandIn):
-    """A partner's door: it seals nothing and expects no instance."""
-
-    def answer(self, method, path, headers, body):
-        assert "Expected-Instance" not in headers
-        self.ran.append((headers["Attempt-Id"], method, path, body))
-        return (f"HTTP/1.1 200 OK\r\nAttempt-Id: {headers['Attempt-Id']}\r\n"
-                "Content-Length: 4\r\n\r\ndoor").encode()
-
-
 class GatewayMesh:
     def __init__(self, folder):
         first = next(FIRST_PORTS)
--- a/tests/test_whole_mesh.py
+++ b/tests/test_whole_mesh.py
@@ -169,3 +169,32 @@
             {"number": 1, "services": {"quotes": ["stray"]}}).encode()))[0] == 409
         assert (await ask(CORE, mesh.control, "PUT", "/mesh/owners", body=b'{"number": 2}'))[0] == 400
     run(test, tmp_path, ("north", "stray"))
+
+
+def test_a_proxy_carries_what_a_partner_exports_and_nothing_private(tmp_path):
+    async def test(mesh):
+        async def put(path, document, *headers):
+            return await ask(CORE, mesh.control, "PUT", path, headers, json.dumps(document).encode())
+
+        assert (await put("/mesh/partners/yard", {
+            "number": 1, "hosts": ["yard"], "address": f"{mesh.door.host}:{mesh.door.port}",
+            "credential": "secret-of-the-yard"}))[0] == 200
+        assert (await put("/mesh/exports/yard", {"number": 1, "exports": [
+            {"host": "yard", "prefix": "/open/", "kind": "upload"}]},
+            "Authorization: Bearer secret-of-the-yard"))[0] == 200
+        clock = asyncio.get_running_loop().time
+        async with asyncio.timeout(20):
+            while not all(proxy.view.find_partner_mapping("yard", "/open/", clock())
+                          for proxy in mesh.proxies):
+                await asyncio.sleep(0)
+        photos = b"photo" * 50_000
+        for side in (0, 1):
+            head = (f"Attempt-Id: y{side}", "Deadline-Ms: 3000")
+            status, _head, body = await ask(
+                SIDES[side], mesh.outbound, "POST", "/open/batch", head, photos, "yard")
+            assert (status, body) == (200, b"door")
+            status, _head, _body = await ask(
+                SIDES[side], mesh.outbound, "GET", "/private/", head, name="yard")
+            assert status == 404
+        assert mesh.door.ran == [(f"y{side}", "POST", "/open/batch", photos) for side in (0, 1)]
+    run(test, tmp_path)
