--- a/marblefold/http_streams/call_router.py
+++ b/marblefold/http_streams/call_router.py
@@ -5,11 +5,15 @@
 from urllib.parse import unquote
 
 from marblefold import wire_names
+from marblefold.breakdowns import Breakdown
 from marblefold.http_streams.answer import Answer
 from marblefold.http_streams.downstream_request import BodyTooLarge, DownstreamRequest
 from marblefold.http_streams.heads import find_header
+from marblefold.logs import log
 
-__all__ = ["Call", "CallRouter", "json_answer"]
+__all__ = ["Call", "CallRouter", "faults_answer", "json_answer", "not_now_answer"]
+
+_RETRY_SECONDS = 0.2
 
 
 class Call(NamedTuple):
@@ -32,6 +36,17 @@
     return Answer(status, header_block=block, body=json.dumps(document).encode())
 
 
+def not_now_answer(breakdown: Breakdown) -> Answer:
+    """No majority answered in time: the word may or may not come to hold."""
+    log.warning("no clear word", step=breakdown.step, mate=breakdown.mate, reason=breakdown.reason)
+    return json_answer(503, {wire_names.REASON: str(breakdown)}, _RETRY_SECONDS)
+
+
+def faults_answer(group: ExceptionGroup) -> Answer:
+    """A word that cannot hold, with every fault and its place."""
+    return json_answer(400, {wire_names.REASON: [fault.reason for fault in group.exceptions]})
+
+
 class _Route(NamedTuple):
     """What serves a path, by method, with the most bytes of a body."""
 
--- a/marblefold/maintenance/calls.py
+++ b/marblefold/maintenance/calls.py
@@ -6,7 +6,8 @@
 from marblefold import wire_names
 from marblefold.breakdowns import Breakdown
 from marblefold.http_streams.answer import Answer
-from marblefold.http_streams.call_router import Call, CallRouter, json_answer
+from marblefold.http_streams.call_router import (
+    Call, CallRouter, faults_answer, json_answer, not_now_answer)
 from marblefold.maintenance.duty import REGISTER, Words
 from marblefold.maintenance.model import (
     Document, WindowState, read_floors_body, read_window_body)
@@ -48,7 +49,7 @@
         try:
             held = await self._words.ask("describe", REGISTER)
         except Breakdown as breakdown:
-            return _not_now(breakdown)
+            return not_now_answer(breakdown)
         document = Document.read(held.value)
         windows = sorted(document.windows.values(), key=lambda window: window.expected_start)
         return json_answer(200, {
@@ -58,14 +59,14 @@
         try:
             floors = read_floors_body(call.body, self._capacity())
         except ExceptionGroup as group:
-            return _bad(group)
+            return faults_answer(group)
         return await self._change(lambda document: document._replace(floors=floors))
 
     async def _set_window(self, call: Call) -> Answer:
         try:
             window = read_window_body(call.subject, call.body, self._zones())
         except ExceptionGroup as group:
-            return _bad(group)
+            return faults_answer(group)
 
         def change(document: Document) -> Document:
             known = document.windows.get(window.name)
@@ -100,7 +101,7 @@
         except _Refused as refused:
             return json_answer(refused.status, {wire_names.REASON: str(refused)})
         except Breakdown as breakdown:
-            return _not_now(breakdown)
+            return not_now_answer(breakdown)
         return json_answer(
             503, {wire_names.REASON: "others change it all the time"}, _RETRY_SECONDS)
 
@@ -111,11 +112,3 @@
     return document._replace(windows={
         name: window for name, window in document.windows.items()
         if window.is_emptied or not window.state.is_over or window.latest_end > oldest})
-
-
-def _bad(group: ExceptionGroup) -> Answer:
-    return json_answer(400, {wire_names.REASON: [fault.reason for fault in group.exceptions]})
-
-
-def _not_now(breakdown: Breakdown) -> Answer:
-    return json_answer(503, {wire_names.REASON: str(breakdown)}, _RETRY_SECONDS)
--- a/marblefold/ownership/calls.py
+++ b/marblefold/ownership/calls.py
@@ -6,7 +6,8 @@
 from marblefold import wire_names
 from marblefold.breakdowns import Breakdown
 from marblefold.http_streams.answer import Answer
-from marblefold.http_streams.call_router import Call, CallRouter, json_answer
+from marblefold.http_streams.call_router import (
+    Call, CallRouter, faults_answer, json_answer, not_now_answer)
 from marblefold.logs import log
 from marblefold.ownership.agent import OWNERS_REGISTER
 from marblefold.ownership.claims import Owner, find_clashes, read_owners_word
@@ -15,7 +16,6 @@
 __all__ = ["Claimed", "OwnerCalls"]
 
 _LARGEST_WORD = 1024 * 1024
-_RETRY_SECONDS = 0.2
 
 
 class Claimed(NamedTuple):
@@ -41,7 +41,7 @@
         try:
             held = await self._words.ask("describe", OWNERS_REGISTER)
         except Breakdown as breakdown:
-            return _not_now(breakdown)
+            return not_now_answer(breakdown)
         claimed = self._claimed()
         clashes = find_clashes(claimed.claimants, claimed.owners)
         services = {}
@@ -56,13 +56,12 @@
         try:
             number, services = read_owners_body(call.body)
         except ExceptionGroup as group:
-            return json_answer(
-                400, {wire_names.REASON: [fault.reason for fault in group.exceptions]})
+            return faults_answer(group)
         value = json.dumps({"services": services}, sort_keys=True).encode()
         try:
             held = await self._words.ask("spec", OWNERS_REGISTER, number, value)
         except Breakdown as breakdown:
-            return _not_now(breakdown)
+            return not_now_answer(breakdown)
         if held.value != value or held.number != number:
             return json_answer(409, {
                 wire_names.REASON: f"number: {number} is not above {held.number}, which holds",
@@ -95,7 +94,3 @@
     if faults:
         raise ExceptionGroup("owners", [Breakdown("check", line) for line in faults])
     return number, services
-
-
-def _not_now(breakdown: Breakdown) -> Answer:
-    return json_answer(503, {wire_names.REASON: str(breakdown)}, _RETRY_SECONDS)
--- a/marblefold/partners/calls.py
+++ b/marblefold/partners/calls.py
@@ -6,7 +6,8 @@
 from marblefold import wire_names
 from marblefold.breakdowns import Breakdown
 from marblefold.http_streams.answer import Answer
-from marblefold.http_streams.call_router import Call, CallRouter, json_answer
+from marblefold.http_streams.call_router import (
+    Call, CallRouter, faults_answer, json_answer, not_now_answer)
 from marblefold.logs import log
 from marblefold.partners.document import (
     Document, Refused, grant_partner, put_exports, withdraw_partner)
@@ -44,7 +45,7 @@
         try:
             held = await self._words.ask("describe", REGISTER)
         except Breakdown as breakdown:
-            return _not_now(breakdown)
+            return not_now_answer(breakdown)
         partners = {
             # Not even its digest is anybody's business.
             name: {key: value for key, value in partner.items() if key != "credential"}
@@ -57,7 +58,7 @@
         try:
             grant = read_grant(call.body)
         except ExceptionGroup as group:
-            return _bad(group)
+            return faults_answer(group)
         return await self._change(
             lambda document: grant_partner(document, call.subject, grant))
 
@@ -68,7 +69,7 @@
         try:
             word = read_exports(call.body)
         except ExceptionGroup as group:
-            return _bad(group)
+            return faults_answer(group)
 
         def change(document: Document) -> Document:
             held = document.partners.get(call.subject)
@@ -97,7 +98,7 @@
                 document["number"] = refused.number
             return json_answer(refused.status, document)
         except Breakdown as breakdown:
-            return _not_now(breakdown)
+            return not_now_answer(breakdown)
         return json_answer(
             503, {wire_names.REASON: "others change it all the time"}, _RETRY_SECONDS)
 
@@ -120,11 +121,3 @@
                 return True
     return any(after.addresses.get(name) != address
                for name, address in before.addresses.items() if name in after.addresses)
-
-
-def _bad(group: ExceptionGroup) -> Answer:
-    return json_answer(400, {wire_names.REASON: [fault.reason for fault in group.exceptions]})
-
-
-def _not_now(breakdown: Breakdown) -> Answer:
-    return json_answer(503, {wire_names.REASON: str(breakdown)}, _RETRY_SECONDS)
--- a/marblefold/registry/control_calls.py
+++ b/marblefold/registry/control_calls.py
@@ -5,14 +5,14 @@
 from marblefold import wire_names
 from marblefold.breakdowns import Breakdown
 from marblefold.http_streams.answer import Answer
-from marblefold.http_streams.call_router import Call, CallRouter, json_answer
+from marblefold.http_streams.call_router import (
+    Call, CallRouter, json_answer, not_now_answer)
 from marblefold.logs import log
 from marblefold.operator_spec.reading import InvalidSpec, read_spec
 
 __all__ = ["ControlCalls", "Words"]
 
 _LARGEST_SPEC = 64 * 1024 * 1024
-_RETRY_SECONDS = 0.2
 
 
 class Words(Protocol):
@@ -58,7 +58,7 @@
         try:
             word = await self._words.ask("describe", "spec")
         except Breakdown as breakdown:
-            return _not_now(breakdown)
+            return not_now_answer(breakdown)
         if not word.value:
             return json_answer(404, {wire_names.REASON: "no spec yet"})
         return Answer(200, header_block=b"Content-Type: application/json\r\n", body=word.value)
@@ -83,10 +83,5 @@
         try:
             await self._words.ask(kind, register, number, value)
         except Breakdown as breakdown:
-            return _not_now(breakdown)
+            return not_now_answer(breakdown)
         return None
-
-
-def _not_now(breakdown: Breakdown) -> Answer:
-    log.warning("no clear word", step=breakdown.step, mate=breakdown.mate, reason=breakdown.reason)
-    return json_answer(503, {wire_names.REASON: str(breakdown)}, _RETRY_SECONDS)
--- a/tests/test_nomination.py
+++ b/tests/test_nomination.py
@@ -65,7 +65,7 @@
 
 @given(st.lists(st.floats(0.1, 30.0), min_size=1, max_size=12))
 def test_the_wait_of_a_flapping_target_grows_and_is_bounded(pauses):
-    record, now, last = TargetRecord(), 100.0, 0.0
+    record, now, last, pause_before, until_before = TargetRecord(), 100.0, 0.0, 0.0, 0.0
     for pause in pauses:
         record.note_breakdown(now)
         wait = record.broken_until - now
