Refuse a body that is not in by a part of its aim, since it was never offered

Proxies that had got SIGTERM held photo batches, never offered, until their grace period was over: a guard waited for a body on a choked link until the request's deadline of 10 s.

--- a/marblefold/request_path/guard.py
+++ b/marblefold/request_path/guard.py
@@ -33,6 +33,9 @@
 # its target is as good as ever, and what it refuses others must bear.
 _UNTOLD_SHARE = 0.16
 _LEAST_SECONDS = 0.003
+# A body that is not in by this part of its aim had better go elsewhere.
+_BODY_AIM_SHARE = 0.6
+_LEAST_PATIENCE = 0.3
 _REFUSED_RETRY_SECONDS = 0.1
 # Offered requests and not a byte for so long: look whether the target is there.
 _QUIET_SECONDS = 0.35
@@ -132,7 +135,8 @@
         longest = head.queue_left_ms / 1000.0
         if head.body_follows and self.slots.expected_wait(turn) <= longest:
             # Its bytes are worth the link only where a slot is likely.
-            step = await self._intake.take(exchange, head, deadline - came)
+            patience = max(_LEAST_PATIENCE, _BODY_AIM_SHARE * head.aim_left_ms / 1000.0)
+            step = await self._intake.take(exchange, head, deadline - came, patience)
             if step:
                 return _refuse(step, _REFUSED_RETRY_SECONDS)
         if not await self.slots.take(turn, longest):
--- a/marblefold/request_path/intake.py
+++ b/marblefold/request_path/intake.py
@@ -21,6 +21,8 @@
 # A body whose sender is slow does not hold up the others for longer.
 _LONGEST_WAIT = 1.0
 # A larger body, or one without a length, goes through as it comes.
+# A body may take so many times what it would alone on the link.
+_TIMES_USUAL = 2.5
 _LARGEST_HELD = 512 * 1024
 
 
@@ -28,12 +30,18 @@
     """Places for bodies on their way in."""
 
     def __init__(self, link_bytes_per_second: float) -> None:
+        self._link_bytes_per_second = max(1.0, link_bytes_per_second)
         places = int(link_bytes_per_second * _LINK_SECONDS / _WINDOW)
         self._places = asyncio.Semaphore(max(_FEWEST, min(_MOST, places)))
         self.waiting = 0
 
-    async def take(self, exchange: Exchange, head, seconds: float) -> str:
+    async def take(
+        self, exchange: Exchange, head, seconds: float, patience: float = 1e9,
+    ) -> str:
         """Takes the body into the head; the step that broke down, or nothing."""
+        # Nothing was offered yet: better told so soon than held to the end.
+        usual = _TIMES_USUAL * max(0, head.body_length) / self._link_bytes_per_second
+        seconds = min(seconds, max(patience, usual))
         if not 0 <= head.body_length <= _LARGEST_HELD:
             exchange.grant(_WINDOW)
             return ""
