--- a/marblefold/http_streams/downstream_server.py
+++ b/marblefold/http_streams/downstream_server.py
@@ -5,7 +5,7 @@
 from datetime import timedelta
 from typing import Awaitable, Callable
 
-from marblefold.http_streams.answer import Answer
+from marblefold.http_streams.answer import Answer, own_answer
 from marblefold.http_streams.downstream_request import DownstreamRequest
 from marblefold.http_streams.downstream_stream import DownstreamStream
 from marblefold.node_config.reading import Address
@@ -15,6 +15,7 @@
 
 _SWEEP = timedelta(milliseconds=500)
 _BACKLOG = 1024
+_LARGEST_UNSERVED = 64 * 1024 * 1024
 
 
 class DownstreamServer:
@@ -25,6 +26,8 @@
         most_streams: int | None = None,
     ) -> None:
         self.is_leaving = False
+        # Late in leaving what still comes is refused, never begun.
+        self.turns_away = False
         self.header_bytes = 16384
         self.idle_time = timedelta(seconds=15)
         self.header_time = timedelta(seconds=3)
@@ -47,6 +50,10 @@
         self.last_arrival = request.arrived
         self.in_progress += 1
         try:
+            if self.turns_away:
+                # Read whole first: a close with unread bytes resets the answer.
+                await request.gather(_LARGEST_UNSERVED, _LARGEST_UNSERVED)
+                return own_answer(503, "leaving", request.attempt_id, 0.1, closes=True)
             return await self._handle(request)
         finally:
             self.in_progress -= 1
--- a/marblefold/proxy/leaving.py
+++ b/marblefold/proxy/leaving.py
@@ -16,6 +16,7 @@
 _LOOK_EVERY = 0.05
 # A part of the grace period is kept for the end itself.
 _GRACE_SHARE = 0.92
+_TAKING_SHARE = 0.55
 
 
 class Leaver(Protocol):
@@ -38,8 +39,15 @@
     program.outbound.is_leaving = True
     last = began + program.grace_period.total_seconds() * _GRACE_SHARE
     while (now := time.monotonic()) < last:
+        if now - began > program.grace_period.total_seconds() * _TAKING_SHARE:
+            # Downstreams may come as long as we listen: what is taken in later
+            # than this could not be brought to its end.
+            program.outbound.turns_away = True
+            program.outbound.stop()
         is_noticed = now - began > _NOTICED.total_seconds()
-        is_quiet = now - program.outbound.last_arrival > _QUIET.total_seconds()
+        is_quiet = (
+            program.outbound.turns_away
+            or now - program.outbound.last_arrival > _QUIET.total_seconds())
         if is_noticed and is_quiet:
             program.outbound.close_idle()
             if not program.outbound.in_progress and not program.hops_in_progress:
