--- a/marblefold/command_line.py
+++ b/marblefold/command_line.py
@@ -7,6 +7,8 @@
 from absl import flags
 
 import marblefold
+# Its flags are those of several programs.
+import marblefold.program_flags  # noqa: F401
 from marblefold.breakdowns import Breakdown
 
 __all__ = ["main"]
@@ -35,6 +37,8 @@
         "       python3 -m marblefold windows --system=HOST:PORT list|set|withdraw|floors\n"
         "       python3 -m marblefold partners --registry=HOST:PORT list|grant|withdraw|export\n"
         "       python3 -m marblefold owners --registry=HOST:PORT list|set\n"
+        "       python3 -m marblefold trace --registry=HOST:PORT show ID|doubles|list\n"
+        "       python3 -m marblefold rehearse (--registry=HOST:PORT | --snapshot=FILE) ...\n"
         f"PROGRAM is one of: {', '.join(sorted(_PROGRAMS))}\n"
         "The config file is named by MARBLEFOLD_NODE_FILE.\n"
     )
@@ -49,6 +53,10 @@
         from marblefold.maintenance.command import run_windows
     if set(_SITE_TOOLS) & set(arguments[1:]):
         from marblefold.site_command import run_owners, run_partners
+    if "trace" in arguments[1:]:
+        from marblefold.tracing.command import run_trace
+    if "rehearse" in arguments[1:]:
+        from marblefold.rehearsal.command import run_rehearsal
     if "--help" in arguments or "-h" in arguments:
         print(_usage() + FLAGS.get_help())
         return 0
@@ -68,6 +76,10 @@
         return run_partners(rest[2:])
     if rest[1:2] == ["owners"]:
         return run_owners(rest[2:])
+    if rest[1:2] == ["trace"]:
+        return run_trace(rest[2:])
+    if rest[1:2] == ["rehearse"]:
+        return run_rehearsal(rest[2:])
     if len(rest) != 2 or rest[1] not in _PROGRAMS:
         print(_usage())
         return 2
--- a/marblefold/gateway/partner_hops.py
+++ b/marblefold/gateway/partner_hops.py
@@ -7,13 +7,18 @@
 import time
 
 from marblefold.gateway.target_hops import TargetHops
+from marblefold.gateway.target_pool import TargetPool
 from marblefold.http_streams.downstream_request import DownstreamRequest
 from marblefold.partners.merging import partner_of
 from marblefold.request_path.hop_sender import Hops
 from marblefold.request_path.mesh_view import MeshView
 from marblefold.request_path.outcome import HopResult
+from marblefold.task_keeper import TaskKeeper
 
-__all__ = ["PartnerHops"]
+__all__ = ["PartnerHops", "open_partner_way"]
+
+# What connections to partners' doors may take of a proxy's descriptors.
+_DESCRIPTORS = 64
 
 
 class PartnerHops:
@@ -24,6 +29,10 @@
         self._to_partners = to_partners
         self._view = view
 
+    def has_guard(self, upstream: str) -> bool:
+        """Beside a partner's door there is none."""
+        return not partner_of(upstream) and self._usual.has_guard(upstream)
+
     async def send(
         self, mate: str, head, request: DownstreamRequest, body_bound: int, seconds: float,
     ) -> HopResult:
@@ -48,3 +57,10 @@
         if mapping is None or partner_of(mapping.upstreams[0]) != partner:
             return False
         return self._view.partners.addresses.get(partner) == mate
+
+
+def open_partner_way(usual: Hops, view: MeshView, tasks: TaskKeeper) -> PartnerHops:
+    """A way of their own for hops to partners, beside the usual one of a proxy."""
+    pool = TargetPool(_DESCRIPTORS, lambda: set(view.partners.addresses.values()))
+    tasks.start(pool.run())
+    return PartnerHops(usual, TargetHops(pool), view)
--- a/marblefold/gateway/program.py
+++ b/marblefold/gateway/program.py
@@ -16,15 +16,18 @@
 from marblefold.node_config.reading import NodeConfig
 from marblefold.node_config.watching import ConfigWatch
 from marblefold.operator_spec.mapping_table import MappingTable
+from marblefold.program_flags import read_traffic_period
 from marblefold.proxy.leaving import leave_in_order
 from marblefold.proxy.registry_follower import RegistryFollower
 from marblefold.proxy.term_asker import TermAsker
+from marblefold.proxy.traffic_teller import TrafficTeller
 from marblefold.request_path.executor import RequestExecutor
 from marblefold.request_path.mesh_view import MeshView
 from marblefold.request_path.nomination import Nominator
 from marblefold.request_path.running_work import RunningWork
 from marblefold.request_path.surroundings import Surroundings
 from marblefold.task_keeper import TaskKeeper
+from marblefold.tracing.starting import start_tracing
 
 __all__ = ["GatewayProgram"]
 
@@ -64,6 +67,15 @@
         self.view.on_spec = self._on_spec
         self._stop = asyncio.Event()
         self._tasks = TaskKeeper()
+        # Hops end at targets: there are no peers to pass marks on to.
+        self._tracing = start_tracing(
+            config, str(config.listen.get("front-http", "")), self.view, self.follower,
+            self._tasks)
+        if self._tracing is not None:
+            self.executor.tracer = self._tracing.tracer
+        self._traffic = TrafficTeller(
+            self.surroundings.traffic, self.follower, config.node_name, config.zone,
+            config.region, lambda: 0.0, read_traffic_period())
 
     async def run(self) -> None:
         """Serves until a SIGTERM has been obeyed."""
@@ -78,10 +90,15 @@
         for run in (
             self._watch.run(), self.follower.run(), self.outbound.run(),
             self._readiness_server.run(), self.pool.run(), self._look_for_overdue(),
+            self._traffic.run(),
         ):
             self._tasks.start(run)
+        if self._tracing is not None:
+            self._tasks.start(self._tracing.run())
         await self._stop.wait()
         await leave_in_order(self)
+        if self._tracing is not None:
+            self._tracing.export_rest()
         self._tasks.cancel()
 
     def tell_leaving(self) -> None:
--- a/marblefold/gateway/target_hops.py
+++ b/marblefold/gateway/target_hops.py
@@ -70,6 +70,10 @@
     def __init__(self, pool: TargetPool) -> None:
         self._pool = pool
 
+    def has_guard(self, upstream: str) -> bool:
+        """Hops end at the target itself."""
+        return False
+
     async def send(
         self, mate: str, head, request: DownstreamRequest, body_bound: int, seconds: float,
         may_send: Callable[[], bool] | None = None,
--- a/marblefold/http_streams/call_router.py
+++ b/marblefold/http_streams/call_router.py
@@ -23,6 +23,8 @@
     body: bytes
     # What the caller shows to prove who it is.
     credential: str = ""
+    # What stands behind the question mark, as it came.
+    query: str = ""
 
 
 Serve = Callable[[Call], Awaitable[Answer]]
@@ -66,7 +68,7 @@
 
     async def handle(self, request: DownstreamRequest) -> Answer:
         """The answer to any call."""
-        path, _sign, _query = request.path.partition("?")
+        path, _sign, query = request.path.partition("?")
         methods, subject = self._find(path)
         if methods is None:
             return json_answer(404, {wire_names.REASON: f"no call at {path}"})
@@ -85,7 +87,7 @@
             return json_answer(400, {wire_names.REASON: "the body broke off"})
         told = find_header(request.headers, b"Authorization") or b""
         credential = told.decode("latin-1").removeprefix("Bearer ")
-        return await route.serve(Call(subject, body, credential))
+        return await route.serve(Call(subject, body, credential, query))
 
     def _find(self, path: str) -> tuple[dict[str, _Route] | None, str]:
         methods = self._routes.get(path)
--- /dev/null
+++ b/marblefold/node_config/model.py
@@ -0,0 +1,87 @@
+"""What a node is told of itself and of the deployment."""
+
+from datetime import timedelta
+from typing import NamedTuple
+
+__all__ = ["Address", "Bounds", "Cloud", "Limits", "NodeConfig"]
+
+
+class Address(NamedTuple):
+    """Where something listens."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+    @classmethod
+    def parse(cls, text: str) -> "Address":
+        """Reads host:port; raises ValueError on anything else."""
+        host, separator, port = text.rpartition(":")
+        if not separator or not host or not 0 < int(port) < 65536:
+            raise ValueError(f"not an address: {text!r}")
+        return cls(host, int(port))
+
+
+class Bounds(NamedTuple):
+    """The figures of the rules in force."""
+
+    contact_window: timedelta
+    acknowledgement_time: timedelta
+    catch_up: timedelta
+    drain_time: timedelta
+    grace_period: timedelta
+    loss_slack: timedelta
+    spec_apply: timedelta
+    retry_ratio: float
+    retry_window: timedelta
+    retry_slack: float
+    cold_overage: float
+    cold_slack: float
+    evacuation: timedelta
+    recovery: timedelta
+
+
+class Limits(NamedTuple):
+    """What the machine grants this process."""
+
+    memory_mb: float
+    file_descriptors: int
+    link_mbps: float = 1000.0
+
+
+class Cloud(NamedTuple):
+    """Where the platform keeps its list of targets, if it does."""
+
+    address: Address
+    rate_per_second: float
+
+
+class NodeConfig(NamedTuple):
+    """All that a process is told when it starts."""
+
+    node_name: str
+    zone: str
+    region: str
+    zone_regions: dict
+    host: str
+    listen: dict
+    inner_ports: tuple[int, int]
+    seeds: tuple[Address, ...]
+    is_first_start: bool
+    is_loss_counted: bool
+    beat_interval: timedelta
+    bounds: Bounds
+    limits: Limits
+    data_directory: str
+    app_address: Address | None
+    upstream: str
+    cloud: Cloud | None = None
+    # How many machines that count may be lost at once.
+    machine_losses: int = 1
+    # The site that this node belongs to, and the registry that claims for it.
+    site: str = ""
+    site_agent: str = ""
+    # What digests of orders are keyed with in traces.
+    trace_key: str = ""
--- a/marblefold/node_config/reading.py
+++ b/marblefold/node_config/reading.py
@@ -6,93 +6,15 @@
 
 import os
 from datetime import timedelta
-from typing import Callable, Mapping as MappingType, NamedTuple
+from typing import Callable, Mapping as MappingType
 
 from marblefold import wire_names
 from marblefold.breakdowns import Breakdown
+from marblefold.node_config.model import Address, Bounds, Cloud, Limits, NodeConfig
 
 __all__ = ["Address", "Bounds", "Cloud", "Limits", "NodeConfig", "read_config", "parse_config"]
 
 
-class Address(NamedTuple):
-    """Where something listens."""
-
-    host: str
-    port: int
-
-    def __str__(self) -> str:
-        return f"{self.host}:{self.port}"
-
-    @classmethod
-    def parse(cls, text: str) -> "Address":
-        """Reads host:port; raises ValueError on anything else."""
-        host, separator, port = text.rpartition(":")
-        if not separator or not host or not 0 < int(port) < 65536:
-            raise ValueError(f"not an address: {text!r}")
-        return cls(host, int(port))
-
-
-class Bounds(NamedTuple):
-    """The figures of the rules in force."""
-
-    contact_window: timedelta
-    acknowledgement_time: timedelta
-    catch_up: timedelta
-    drain_time: timedelta
-    grace_period: timedelta
-    loss_slack: timedelta
-    spec_apply: timedelta
-    retry_ratio: float
-    retry_window: timedelta
-    retry_slack: float
-    cold_overage: float
-    cold_slack: float
-    evacuation: timedelta
-    recovery: timedelta
-
-
-class Limits(NamedTuple):
-    """What the machine grants this process."""
-
-    memory_mb: float
-    file_descriptors: int
-    link_mbps: float = 1000.0
-
-
-class Cloud(NamedTuple):
-    """Where the platform keeps its list of targets, if it does."""
-
-    address: Address
-    rate_per_second: float
-
-
-class NodeConfig(NamedTuple):
-    """All that a process is told when it starts."""
-
-    node_name: str
-    zone: str
-    region: str
-    zone_regions: dict
-    host: str
-    listen: dict
-    inner_ports: tuple[int, int]
-    seeds: tuple[Address, ...]
-    is_first_start: bool
-    is_loss_counted: bool
-    beat_interval: timedelta
-    bounds: Bounds
-    limits: Limits
-    data_directory: str
-    app_address: Address | None
-    upstream: str
-    cloud: Cloud | None = None
-    # How many machines that count may be lost at once.
-    machine_losses: int = 1
-    # The site that this node belongs to, and the registry that claims for it.
-    site: str = ""
-    site_agent: str = ""
-
-
 def _milliseconds(text: str) -> timedelta:
     return timedelta(milliseconds=_positive(text))
 
@@ -232,6 +154,7 @@
         cloud=_read_cloud(lines),
         machine_losses=lines.get("fault-tolerance.machine-losses", _whole, 1),
         site=lines.get("site-name", _word, ""),
+        trace_key=lines.get("trace-key", _word, ""),
         site_agent=lines.get("site-agent", lambda text: str(Address.parse(text)), ""),
     )
 
--- a/marblefold/planner/facts.py
+++ b/marblefold/planner/facts.py
@@ -37,6 +37,7 @@
                 node=str(row.get("node", "")), mate="", zone=row[wire_names.ZONE],
                 region=row.get("region", ""), instance=row["instance"],
                 upstream=row[wire_names.UPSTREAM], slots=int(row[wire_names.CAPACITY_SLOTS]),
+                site=str(row.get("site", "")), site_agent=str(row.get("site-agent", "")),
                 is_draining=row.get(wire_names.STATE) == wire_names.DRAINING,
                 cold_until=float(bool(row.get("cold"))), is_leaving=bool(row.get("leaving"))))
         except (KeyError, TypeError, ValueError, AttributeError) as error:
--- a/marblefold/proxy/program.py
+++ b/marblefold/proxy/program.py
@@ -12,7 +12,7 @@
 from marblefold.inner_protocol.mate_book import MateBook
 from marblefold.inner_protocol.exchange import Exchange
 from marblefold.inner_protocol.mate_stream import MateStream
-from marblefold.inner_protocol.messages import kinds
+from marblefold.inner_protocol.messages import kinds, unpack_message
 from marblefold.inner_protocol.ports import PROXY, REGISTRY, inner_address
 from marblefold.logs import log
 from marblefold.membership.members import Liveness, Member
@@ -20,12 +20,14 @@
 from marblefold.node_config.reading import NodeConfig
 from marblefold.node_config.watching import ConfigWatch
 from marblefold.operator_spec.mapping_table import MappingTable
+from marblefold.program_flags import read_traffic_period
 from marblefold.proxy.beats import BeatCalls
 from marblefold.proxy.health_probe import ask_health
 from marblefold.proxy.leaving import leave_in_order
 from marblefold.proxy.notices import NoticeMaker
 from marblefold.proxy.registry_follower import RegistryFollower
 from marblefold.proxy.term_asker import TermAsker
+from marblefold.proxy.traffic_teller import TrafficTeller
 from marblefold.request_path.executor import RequestExecutor
 from marblefold.request_path.guard import Guard
 from marblefold.request_path.hop_sender import HopSender
@@ -34,13 +36,13 @@
 from marblefold.request_path.nomination import Nominator
 from marblefold.request_path.surroundings import Surroundings
 from marblefold.task_keeper import TaskKeeper
+from marblefold.tracing.starting import start_tracing
 
 __all__ = ["ProxyProgram"]
 
 _OVERDUE_LOOK = timedelta(seconds=10)
 # Mates are told that we leave after this part of the grace period.
 _TOLD_SHARE = 0.13
-_PARTNER_DESCRIPTORS = 64
 
 
 class ProxyProgram:
@@ -51,20 +53,18 @@
         self._watch = watch
         self._config = config
         self.is_leaving = False
+        self._tasks = TaskKeeper()
         self.view = MeshView(config.node_name)
         self.target = LocalTarget(self._on_target_change)
         self.guard = Guard(
             self.target, self.view, config.bounds, config.limits.link_mbps * 125_000)
         self._notices = NoticeMaker(config, self.target)
         self.follower = RegistryFollower(
-            config.node_name,
-            self._seed_registries,
-            self.view, self._make_notice,
+            config.node_name, self._seed_registries, self.view, self._make_notice,
             asker=TermAsker(config.node_name, self.view, config.site, config.site_agent))
         self._membership = NodeMembership(watch, "proxy", PROXY, self._on_member)
         nominator = Nominator(self.view, config.zone)
-        self.surroundings = Surroundings(
-            self.view, nominator, config.bounds, config.limits)
+        self.surroundings = Surroundings(self.view, nominator, config.bounds, config.limits)
         self._mates = MateBook(self)
         self._hops = HopSender(
             self._mates, lambda mate: nominator.note_silent(mate, time.monotonic()),
@@ -72,6 +72,14 @@
         self.executor = RequestExecutor(
             self.surroundings, self._hops, self.guard.work, config.upstream)
         self.view.on_partners = self._open_partner_door
+        self._tracing = start_tracing(
+            config, inner_address(config.host, config, PROXY), self.view, self.follower,
+            self._tasks, self._mates)
+        if self._tracing is not None:
+            self.executor.tracer = self.guard.tracer = self._tracing.tracer
+        self._traffic = TrafficTeller(
+            self.surroundings.traffic, self.follower, config.node_name, config.zone,
+            config.region, lambda: self.guard.slots.service_seconds, read_traffic_period())
         self.outbound = DownstreamServer(self.executor.serve)
         calls, ready = CallRouter(), CallRouter()
         BeatCalls(self.target, config.zone).add_to(calls)
@@ -82,7 +90,6 @@
         self.view.on_spec = self._on_spec
         self.view.on_evacuation = self._on_evacuation
         self._stop = asyncio.Event()
-        self._tasks = TaskKeeper()
 
     async def run(self) -> None:
         """Serves until a SIGTERM has been obeyed."""
@@ -106,10 +113,15 @@
             self._watch.run(), self.follower.run(), self._membership.run(), self.outbound.run(),
             self._control.run(), self._readiness_server.run(),
             self._hops.run(), self.guard.run(), self._find_target(), self._look_for_overdue(),
+            self._traffic.run(),
         ):
             self._tasks.start(run)
+        if self._tracing is not None:
+            self._tasks.start(self._tracing.run())
         await self._stop.wait()
         await leave_in_order(self)
+        if self._tracing is not None:
+            self._tracing.export_rest()
         self._tasks.cancel()
 
     def tell_leaving(self) -> None:
@@ -143,7 +155,9 @@
         """Mates call for nothing."""
 
     def on_tell(self, stream: MateStream, payload: bytes) -> None:
-        """Mates tell nothing here."""
+        """A mate tells which trace is to be kept."""
+        if self._tracing is not None:
+            self._tracing.take(unpack_message(payload))
 
     def on_lost(self, stream: MateStream) -> None:
         """A mate's stream is gone; its hops were told already."""
@@ -197,14 +211,10 @@
 
     def _open_partner_door(self) -> None:
         """The first partner is known: hops to partners get a way of their own."""
-        # Nothing else in a proxy needs these.
-        from marblefold.gateway.partner_hops import PartnerHops
-        from marblefold.gateway.target_hops import TargetHops
-        from marblefold.gateway.target_pool import TargetPool
+        # Nothing else in a proxy needs it.
+        from marblefold.gateway.partner_hops import open_partner_way
 
-        pool = TargetPool(_PARTNER_DESCRIPTORS, lambda: set(self.view.partners.addresses.values()))
-        self.executor.hops = PartnerHops(self._hops, TargetHops(pool), self.view)
-        self._tasks.start(pool.run())
+        self.executor.hops = open_partner_way(self._hops, self.view, self._tasks)
 
     def _on_evacuation(self, zone: str, is_on: bool) -> None:
         if is_on or zone != self._config.zone:
@@ -231,5 +241,3 @@
         while True:
             await asyncio.sleep(_OVERDUE_LOOK.total_seconds())
             self.surroundings.log_overdue(_OVERDUE_LOOK)
-
-
--- /dev/null
+++ b/marblefold/proxy/traffic_teller.py
@@ -0,0 +1,43 @@
+"""Tells the registries at times how many requests began here."""
+
+import asyncio
+import random
+from datetime import timedelta
+from typing import Callable
+
+from marblefold.proxy.registry_follower import RegistryFollower
+from marblefold.request_path.traffic_count import TrafficCount
+
+__all__ = ["TrafficTeller"]
+
+
+class TrafficTeller:
+    """Owns the pace of the notices."""
+
+    def __init__(
+        self, count: TrafficCount, follower: RegistryFollower, node: str, zone: str, region: str,
+        service_seconds: Callable[[], float], period: timedelta,
+    ) -> None:
+        self._count = count
+        self._follower = follower
+        self._node = node
+        self._zone = zone
+        self._region = region
+        self._service_seconds = service_seconds
+        self._period = period
+
+    async def run(self) -> None:
+        """Tells, for ever; nodes that start together do not tell together."""
+        if not self._period:
+            return
+        await asyncio.sleep(random.random() * self._period.total_seconds())
+        while True:
+            self.tell()
+            await asyncio.sleep(self._period.total_seconds())
+
+    def tell(self) -> None:
+        """Tells the counts as they stand, where there is news."""
+        notice = self._count.make_notice(
+            self._node, self._zone, self._region, self._service_seconds())
+        if notice is not None:
+            self._follower.send_to_all(notice)
--- a/marblefold/registry/program.py
+++ b/marblefold/registry/program.py
@@ -29,9 +29,15 @@
 from marblefold.registry.live_capacity import LiveCapacity
 from marblefold.registry.site_news import PARTNERS_REGISTER, SiteNews
 from marblefold.registry.state import describe_state
+from marblefold.registry.snapshot_parts import describe_parts
 from marblefold.registry.store_words import HeldWord, StoreWords
+from marblefold.registry.traffic_book import TrafficBook
+from marblefold.rehearsal.calls import RehearsalCalls
 from marblefold.spec_store.view import read_view
 from marblefold.task_keeper import TaskKeeper
+from marblefold.tracing.calls import TraceCalls
+from marblefold.tracing.collector import Collector
+from marblefold.program_flags import read_collected_spans
 
 __all__ = ["RegistryProgram"]
 
@@ -63,7 +69,11 @@
         self._sites = SiteNews(
             config, self._own, self.catalogue, self.words,
             lambda: self._duties.is_holder(PARTNERS_REGISTER, _LIST_SETTLING))
+        self._collector = Collector(read_collected_spans())
         calls = CallRouter()
+        TraceCalls(self._collector, time.time).add_to(calls)
+        self._traffic = TrafficBook()
+        RehearsalCalls(self.words, self._describe_parts).add_to(calls)
         self._sites.add_to(calls)
         MaintenanceCalls(self.words, self._zones, capacity.all_slots).add_to(calls)
         ControlCalls(
@@ -125,6 +135,10 @@
             self.feed.follow(stream, message)
         elif isinstance(message, kinds.TargetNotice):
             self._take_notice(stream, message)
+        elif isinstance(message, kinds.TrafficNotice):
+            self._traffic.take(message, time.monotonic())
+        elif isinstance(message, kinds.SpanBatch):
+            self._collector.take(message)
         elif isinstance(message, kinds.Want):
             self.feed.give(stream, message)
         elif isinstance(message, kinds.RenewTerm):
@@ -185,6 +199,11 @@
     def _zones(self) -> set[str]:
         return set(self._watch.config.zone_regions)
 
+    def _describe_parts(self) -> dict:
+        return describe_parts(
+            self._tell_state(), self._traffic, self._config, self.catalogue, self._own,
+            self._membership.members("registry"), time.monotonic())
+
     def _tell_state(self) -> dict:
         members = sorted(self.words.stores)
         return describe_state(
--- a/marblefold/registry/state.py
+++ b/marblefold/registry/state.py
@@ -24,7 +24,7 @@
             wire_names.UPSTREAM: notice.upstream, wire_names.ZONE: notice.zone,
             "region": notice.region, wire_names.CAPACITY_SLOTS: notice.slots,
             wire_names.STATE: notice.state, "cold": notice.cold_left_ms > 0,
-            "leaving": notice.leaving,
+            "leaving": notice.leaving, "site": notice.site, "site-agent": notice.site_agent,
         })
     return {
         wire_names.SPEC_NUMBER: spec.number if spec is not None else None,
--- /dev/null
+++ b/marblefold/registry/traffic_book.py
@@ -0,0 +1,94 @@
+"""What the nodes have counted, as one registry heard it: rates by mapping and zone."""
+
+from typing import NamedTuple
+
+from marblefold.inner_protocol.messages import kinds
+
+__all__ = ["Flow", "TrafficBook"]
+
+# What a node has not told again for longer says nothing of now.
+_OLDEST_SECONDS = 60.0
+
+
+class Flow(NamedTuple):
+    """The requests of one mapping that begin in one zone."""
+
+    mapping: str
+    zone: str
+    per_second: float
+    # How long one takes in the mean.
+    seconds: float
+    refused_share: float
+    unknown_share: float
+    age_seconds: float
+
+
+class _Heard(NamedTuple):
+    """A notice and when it came."""
+
+    notice: kinds.TrafficNotice
+    at: float
+
+
+class TrafficBook:
+    """The last two notices of every node; nothing else."""
+
+    def __init__(self) -> None:
+        self._last: dict[str, _Heard] = {}
+        self._before: dict[str, _Heard] = {}
+
+    def take(self, notice: kinds.TrafficNotice, now: float) -> None:
+        """A node told its counts."""
+        last = self._last.get(notice.node)
+        if last is not None:
+            order = (last.notice.node_life, last.notice.number)
+            if (notice.node_life, notice.number) <= order:
+                return
+            # Counts of a fresh start cannot be compared with those before it.
+            if last.notice.node_life == notice.node_life:
+                self._before[notice.node] = last
+            else:
+                self._before.pop(notice.node, None)
+        self._last[notice.node] = _Heard(notice, now)
+
+    def nodes(self, now: float) -> set[str]:
+        """The nodes whose rates are known."""
+        return {node for node, heard in self._last.items()
+                if node in self._before and now - heard.at <= _OLDEST_SECONDS}
+
+    def zones(self) -> dict[str, str]:
+        """Where each node that ever told is."""
+        return {node: heard.notice.zone for node, heard in self._last.items()}
+
+    def flows(self, now: float) -> list[Flow]:
+        """The rates by mapping and zone, summed over the nodes."""
+        sums: dict[tuple[str, str], list[float]] = {}
+        for node in self.nodes(now):
+            last, before = self._last[node], self._before[node]
+            window = max(1e-3, last.at - before.at)
+            earlier = {row.mapping: row for row in before.notice.mappings}
+            for row in last.notice.mappings:
+                old = earlier.get(row.mapping, kinds.MappingCount())
+                requests = row.requests - old.requests
+                if requests <= 0:
+                    continue
+                found = sums.setdefault((row.mapping, last.notice.zone), [0.0] * 6)
+                for place, value in enumerate((
+                        requests / window, requests, row.milliseconds - old.milliseconds,
+                        row.refused - old.refused, row.unknown - old.unknown)):
+                    found[place] += value
+                found[5] = max(found[5], now - last.at)
+        return [
+            Flow(mapping, zone, rate, milliseconds / 1000.0 / count, refused / count,
+                 unknown / count, age)
+            for (mapping, zone), (rate, count, milliseconds, refused, unknown, age)
+            in sorted(sums.items())]
+
+    def service_seconds(self, upstream_of: dict[str, str]) -> dict[str, float]:
+        """What the targets of each service take in the mean, by the nodes beside them."""
+        found: dict[str, list[float]] = {}
+        for node, heard in self._last.items():
+            upstream = upstream_of.get(node)
+            if upstream is not None and heard.notice.service_us:
+                found.setdefault(upstream, []).append(heard.notice.service_us / 1e6)
+        return {upstream: sum(values) / len(values) for upstream, values in found.items()}
--- /dev/null
+++ b/marblefold/rehearsal/calls.py
@@ -0,0 +1,95 @@
+"""The read-only calls: the snapshot of a system, and a rehearsal from it.
+
+Neither changes anything.  One rehearsal runs at a time, in slices between
+which the registry does its own work; a second one is refused for now.
+"""
+
+import asyncio
+import json
+from datetime import datetime, timezone
+from typing import Callable
+from urllib.parse import parse_qs
+
+from marblefold import wire_names
+from marblefold.breakdowns import Breakdown
+from marblefold.http_streams.answer import Answer
+from marblefold.http_streams.call_router import (
+    Call, CallRouter, faults_answer, json_answer, not_now_answer)
+
+__all__ = ["RehearsalCalls"]
+
+_MOST_REQUESTS = 8_000
+# Between slices the registry's own work goes first.
+_PAUSE_SECONDS = 0.01
+_LONGEST_SECONDS = 20.0
+_BUSY_RETRY = 2.0
+
+
+class RehearsalCalls:
+    """Answers from what the registry knows; touches no node."""
+
+    def __init__(self, words, make_parts: Callable[[], dict]) -> None:
+        self._words = words
+        self._make_parts = make_parts
+        self._is_busy = False
+
+    def add_to(self, router: CallRouter) -> None:
+        """Serves these calls at the router."""
+        router.add("GET", wire_names.SNAPSHOT_PATH, self._snapshot)
+        router.add("GET", wire_names.REHEARSAL_PATH, self._rehearse)
+
+    async def _snapshot(self, _call: Call) -> Answer:
+        document = await self._take()
+        return document if isinstance(document, Answer) else json_answer(200, document)
+
+    async def _rehearse(self, call: Call) -> Answer:
+        asked = parse_qs(call.query)
+        if self._is_busy:
+            return json_answer(503, {wire_names.REASON: "a rehearsal is under way"}, _BUSY_RETRY)
+        self._is_busy = True
+        try:
+            async with asyncio.timeout(_LONGEST_SECONDS):
+                return await self._play(asked.get("region", []), asked.get("zone", []))
+        except TimeoutError:
+            return json_answer(
+                503, {wire_names.REASON: "too much for this registry: use the command"},
+                _BUSY_RETRY)
+        finally:
+            self._is_busy = False
+
+    async def _play(self, regions: list[str], zones: list[str]) -> Answer:
+        # Nothing else in a registry needs these.
+        from marblefold.rehearsal.forecast import find_lost, rehearse_slowly
+        from marblefold.rehearsal.playing import PlayConfig
+        from marblefold.rehearsal.reporting import to_plain
+        from marblefold.rehearsal.snapshot import read_snapshot
+
+        document = await self._take()
+        if isinstance(document, Answer):
+            return document
+        try:
+            snapshot = read_snapshot(json.dumps(document).encode())
+            lost = find_lost(snapshot, regions, zones)
+        except ExceptionGroup as group:
+            return faults_answer(group)
+        config = PlayConfig(
+            warm_seconds=1.5, after_seconds=5.0, most_requests=_MOST_REQUESTS)
+        steps = rehearse_slowly(snapshot, lost, config)
+        while True:
+            try:
+                next(steps)
+            except StopIteration as end:
+                return json_answer(200, to_plain(end.value))
+            await asyncio.sleep(_PAUSE_SECONDS)
+
+    async def _take(self) -> dict | Answer:
+        try:
+            word = await self._words.ask("describe", "spec")
+        except Breakdown as breakdown:
+            return not_now_answer(breakdown)
+        if not word.value:
+            return json_answer(404, {wire_names.REASON: "no spec yet"})
+        return {
+            "format": "marblefold-snapshot", "version": 1,
+            "taken-at": datetime.now(timezone.utc).isoformat(),
+            "spec": json.loads(word.value), **self._make_parts()}
--- /dev/null
+++ b/marblefold/rehearsal/flight.py
@@ -0,0 +1,192 @@
+"""One request of a rehearsal, from its arrival to its final answer."""
+
+from typing import TYPE_CHECKING
+
+from marblefold import wire_names
+from marblefold.http_streams.answer import Answer
+from marblefold.operator_spec.rows import Mapping
+from marblefold.rehearsal.guards import RehearsedGuard
+from marblefold.rehearsal.origins import Origin
+from marblefold.rehearsal.tally import Ending
+from marblefold.request_path.decision import Conclude, Offer, RequestDecision
+from marblefold.request_path.outcome import HopOutcome, HopResult
+from marblefold.request_path.slot_queue import Turn
+from marblefold.request_path.upstream_limits import find_cold_most
+
+if TYPE_CHECKING:
+    from marblefold.rehearsal.playing import Play
+
+__all__ = ["Flight"]
+
+_DONE = Answer(200)
+_KILOBYTES = 1.0
+_REFUSED_RETRY = 0.1
+
+
+class Flight:
+    """Asks the real decision, and obeys it in the time of the play."""
+
+    def __init__(self, play: "Play", origin: Origin, mapping: Mapping, upstream: str) -> None:
+        self._play = play
+        self._origin = origin
+        self._mapping = mapping
+        self._upstream = upstream
+        self._is_repeatable = mapping.kind == wire_names.READ_ONLY
+        self._arrived = play.now
+        deadline = play.now + mapping.time_limit.total_seconds()
+        self._decision = RequestDecision(
+            mapping, upstream, "rehearsed", play.now, deadline, True, _KILOBYTES, False,
+            origin.surroundings)
+        self._deadline = deadline
+        self._hop = 0
+        self._offer: Offer | None = None
+        self._ticket = None
+        self._offers = 0
+        self._was_dark = False
+        self._is_slot_held = False
+
+    def begin(self) -> None:
+        """It has come in."""
+        self._play.flights.add(self)
+        self._origin.surroundings.note_request(self._upstream, self._play.now)
+        self._step()
+
+    def note_loss(self) -> None:
+        """A place went dark in the midst of it."""
+        if self._play.is_lost(self._origin.zone):
+            # Its client is gone too, and will ask what became of it.
+            self._was_dark = self._decision.may_have_run or self._is_slot_held
+            self._end("gone", "origin lost", "")
+        elif self._offer is not None and self._play.is_lost(self._offer.target.zone):
+            self._go_dark()
+
+    def _step(self) -> None:
+        step = self._decision.next_step(self._play.now)
+        if isinstance(step, Conclude):
+            self._conclude(step)
+            return
+        self._hop += 1
+        self._offer = step
+        surroundings = self._origin.surroundings
+        self._offers = step.attempt_number
+        if step.attempt_number > 1:
+            surroundings.note_repeat(self._upstream, self._play.now)
+        self._ticket = surroundings.begin(step.target, self._decision.weight, "rehearsed")
+        hop = self._hop
+        delay = self._play.delay(self._origin.zone, step.target)
+        self._play.after(delay, lambda: self._reach(hop))
+
+    def _reach(self, hop: int) -> None:
+        """The hop has come to the guard, or into the dark."""
+        if hop != self._hop:
+            return
+        play, offer = self._play, self._offer
+        if play.is_lost(offer.target.zone):
+            self._go_dark()
+            return
+        guard = play.guards[offer.target.node]
+        if self._upstream in play.lapsed:
+            self._refuse("another owner", _REFUSED_RETRY)
+            return
+        end = self._arrived + self._mapping.target_latency.total_seconds()
+        turn = Turn(1 + max(0, self._mapping.priority), end)
+        number = guard.take(turn, offer.queue_seconds, lambda: self._start(hop))
+        if number is None:
+            self._refuse("no slot in time", max(_REFUSED_RETRY, guard.expected_wait(turn)))
+        elif number >= 0:
+            play.after(offer.queue_seconds, lambda: self._leave_queue(hop, guard, number))
+
+    def _leave_queue(self, hop: int, guard: RehearsedGuard, number: int) -> None:
+        if guard.leave(number) and hop == self._hop:
+            self._refuse("no slot in time", _REFUSED_RETRY)
+
+    def _start(self, hop: int) -> None:
+        """A slot was had."""
+        play, target = self._play, self._offer.target
+        guard = play.guards[target.node]
+        most = find_cold_most(play.view, self._origin.surroundings.bounds, target.upstream)
+        if hop != self._hop or not guard.cold.may_offer(play.now, most):
+            # Given back behind this call: the guard is in the midst of handing out.
+            play.after(0.0, guard.give_back)
+            if hop == self._hop:
+                self._refuse("cold", guard.cold.retry_after(play.now))
+            return
+        self._is_slot_held = True
+        spread = play.config.spread
+        seconds = guard.service_seconds * play.random.uniform(1 - spread, 1 + spread)
+        play.after(seconds, lambda: self._finish(hop, guard, seconds))
+
+    def _finish(self, hop: int, guard: RehearsedGuard, seconds: float) -> None:
+        """The target is done with it, whoever still waits."""
+        guard.give_back()
+        if hop != self._hop:
+            return
+        play, target = self._play, guard.target
+        self._is_slot_held = False
+        result = HopResult(
+            HopOutcome.ANSWERED, _DONE, pressure=guard.pressure, service_seconds=seconds)
+        play.after(play.delay(self._origin.zone, target), lambda: self._take(hop, result))
+
+    def _refuse(self, step: str, retry_after: float) -> None:
+        hop, play, target = self._hop, self._play, self._offer.target
+        result = HopResult(
+            HopOutcome.NEVER_OFFERED, retry_after=retry_after, step=step,
+            pressure=play.guards[target.node].pressure)
+        play.after(play.delay(self._origin.zone, target), lambda: self._take(hop, result))
+
+    def _go_dark(self) -> None:
+        """Nothing will come back: how the sender finds out."""
+        play = self._play
+        self._hop += 1
+        self._is_slot_held = False
+        is_first = not self._was_dark
+        self._was_dark = True
+        hop, target = self._hop, self._offer.target
+        surroundings = self._origin.surroundings
+        if play.now > play.loss_at + play.config.unheard_seconds:
+            # By now the connection there is given up, and no new one comes up.
+            self._was_dark = not is_first
+            result = HopResult(HopOutcome.NEVER_OFFERED, step="connect")
+            play.after(play.config.connect_seconds, lambda: self._take(hop, result))
+            return
+        silent = play.config.silent_seconds
+        play.after(silent, lambda: surroundings.nominator.note_silent(target.mate, play.now))
+        wait = silent if self._is_repeatable else play.config.unheard_seconds
+        left = max(0.0, self._deadline - play.now)
+        step = "silent" if self._is_repeatable else "stream"
+        if left < wait:
+            wait, step = left, "deadline"
+        result = HopResult(HopOutcome.UNKNOWN, step=step)
+        play.after(wait, lambda: self._take(hop, result))
+
+    def _take(self, hop: int, result: HopResult) -> None:
+        """The hop's end has come back to the sender."""
+        if hop != self._hop or self._play.is_lost(self._origin.zone):
+            return
+        self._origin.surroundings.end(
+            self._offer.target, self._ticket, result, self._decision.weight)
+        self._decision.note(self._offer.target, result)
+        self._step()
+
+    def _conclude(self, step: Conclude) -> None:
+        status = step.answer.status
+        if status < 400:
+            self._end("carried", "", self._offer.target.zone)
+        elif status in (429, 503):
+            self._end("stalled", step.step, "")
+        else:
+            # A read whose outcome nobody knows only stalls: it may be asked again.
+            self._end("stalled" if self._is_repeatable else "unknown", step.step, "")
+
+    def _end(self, what: str, step: str, zone: str) -> None:
+        play = self._play
+        play.flights.discard(self)
+        self._hop += 1
+        phase = play.phase(self._arrived)
+        if phase is None:
+            return
+        late = play.now - self._arrived > self._mapping.target_latency.total_seconds()
+        play.tally.add(Ending(
+            self._mapping.name, self._upstream, zone, what, step,
+            late and what == "carried", self._offers > 1, self._was_dark),
+            phase, self._is_repeatable)
--- /dev/null
+++ b/marblefold/rehearsal/guards.py
@@ -0,0 +1,75 @@
+"""A guard in a rehearsal: slots and a queue, as the real one hands them out."""
+
+import heapq
+import itertools
+from typing import Callable
+
+from marblefold.request_path.cold_limit import ColdLimit
+from marblefold.request_path.mesh_view import KnownTarget
+from marblefold.request_path.outcome import Pressure
+from marblefold.request_path.slot_queue import Turn
+
+__all__ = ["RehearsedGuard"]
+
+
+class RehearsedGuard:
+    """Knows no clock: it is told the time."""
+
+    def __init__(self, target: KnownTarget, service_seconds: float) -> None:
+        self.target = target
+        self.service_seconds = service_seconds
+        self.running = 0
+        self.cold = ColdLimit()
+        self.cold.cold_until = target.cold_until
+        self._order = itertools.count()
+        self._waiting: list[tuple[Turn, int, Callable[[], None]]] = []
+        self._left: set[int] = set()
+
+    @property
+    def pressure(self) -> Pressure:
+        """What it tells with every answer."""
+        return Pressure(self.running, self.waiting, self.target.slots)
+
+    @property
+    def waiting(self) -> int:
+        """How many wait for a slot."""
+        return len(self._waiting) - len(self._left)
+
+    def expected_wait(self, turn: Turn) -> float:
+        """How long a request of that turn would likely wait."""
+        if self.running < self.target.slots:
+            return 0.0
+        ahead = sum(1 for other, number, _start in self._waiting
+                    if other <= turn and number not in self._left)
+        return (ahead + 1) * self.service_seconds / self.target.slots
+
+    def take(self, turn: Turn, longest: float, start: Callable[[], None]) -> int | None:
+        """Starts it now or puts it in the queue; None if it is refused."""
+        if self.running < self.target.slots:
+            self.running += 1
+            start()
+            return -1
+        if longest <= 0 or self.expected_wait(turn) > longest:
+            return None
+        number = next(self._order)
+        heapq.heappush(self._waiting, (turn, number, start))
+        return number
+
+    def leave(self, number: int) -> bool:
+        """It waited for too long; tells whether it was still in the queue."""
+        if any(number == other for _turn, other, _start in self._waiting) and (
+                number not in self._left):
+            self._left.add(number)
+            return True
+        return False
+
+    def give_back(self) -> None:
+        """A slot is free: the next in order has it."""
+        self.running -= 1
+        while self._waiting and self.running < self.target.slots:
+            _turn, number, start = heapq.heappop(self._waiting)
+            if number in self._left:
+                self._left.discard(number)
+                continue
+            self.running += 1
+            start()
--- /dev/null
+++ b/marblefold/rehearsal/playing.py
@@ -0,0 +1,187 @@
+"""Plays traffic through a mesh that loses a place, without a mesh.
+
+Every node decides with the real decision, nomination, breaker and budget; only
+time, links and targets are stood in for.  It touches nothing: no clock is
+waited for, no byte is sent.
+"""
+
+import heapq
+import itertools
+import math
+import random
+import time
+from typing import Callable, Iterator, NamedTuple
+
+from marblefold.membership.prober import ProberConfig
+from marblefold.operator_spec.rows import Mapping
+from marblefold.rehearsal.flight import Flight
+from marblefold.rehearsal.guards import RehearsedGuard
+from marblefold.rehearsal.origins import make_origins, make_view
+from marblefold.rehearsal.snapshot import Snapshot
+from marblefold.rehearsal.tally import Phase, Tally
+from marblefold.registry.traffic_book import Flow
+from marblefold.request_path.mesh_view import KnownTarget
+from marblefold.terms.held_terms import TERM_SECONDS
+
+__all__ = ["Play", "PlayConfig"]
+
+_PASS_ON_SECONDS = 0.2
+
+
+class PlayConfig(NamedTuple):
+    """How long is played, and what is assumed of links and targets."""
+
+    warm_seconds: float = 3.0
+    after_seconds: float = 6.0
+    most_requests: int = 60_000
+    seed: int = 1
+    # One way.
+    in_zone: float = 0.0002
+    cross_zone: float = 0.001
+    cross_region: float = 0.012
+    # Service times lie within this part of their mean, either way.
+    spread: float = 0.5
+    # What a dark machine's silence costs, as connections between proxies find out.
+    silent_seconds: float = 0.45
+    unheard_seconds: float = 2.0
+    connect_seconds: float = 0.5
+
+
+class Play:
+    """One rehearsal; run() gives the processor back after each slice."""
+
+    def __init__(
+        self, snapshot: Snapshot, lost: frozenset[str], config: PlayConfig = PlayConfig(),
+    ) -> None:
+        self.config = config
+        self.tally = Tally()
+        self.now = time.monotonic()
+        self.view = make_view(snapshot)
+        self.random = random.Random(config.seed)
+        self._snapshot = snapshot
+        self._lost = lost
+        self._began = self.now
+        self.loss_at = self.now + config.warm_seconds
+        self.is_dark = False
+        # Services whose owner's agent is lost: their terms run out.
+        self.lapsed: set[str] = set()
+        self.settled_at = self.loss_at + detection_seconds(len(snapshot.origins))
+        self._origins = make_origins(snapshot, self.view, lambda: self.now, config.seed)
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        self._mappings = {mapping.name: mapping for mapping in snapshot.facts.rows.mappings}
+        self.guards = {
+            target.node: RehearsedGuard(target, self._service_seconds(target.upstream))
+            for name in {target.upstream for target in snapshot.facts.targets}
+            for target in self.view.targets(name)}
+        self.flights: set[Flight] = set()
+
+    @property
+    def expected_requests(self) -> float:
+        """How many requests this plays, about."""
+        rate = sum(flow.per_second for flow in self._snapshot.flows)
+        return rate * (self.config.warm_seconds + self.config.after_seconds)
+
+    def run(self, slice_events: int = 100) -> Iterator[None]:
+        """Plays to the end; yields after each slice of events."""
+        for flow in self._snapshot.flows:
+            mapping = self._mappings.get(flow.mapping)
+            if mapping is not None and flow.per_second > 0:
+                self.after(self._pause(flow), lambda f=flow, m=mapping: self._arrive(f, m))
+        self.at(self.loss_at, self._lose)
+        end = self.loss_at + self.config.after_seconds
+        played = 0
+        while self._events and self._events[0][0] <= end:
+            self.now, _number, act = heapq.heappop(self._events)
+            act()
+            played += 1
+            if played % slice_events == 0:
+                yield
+
+    def at(self, when: float, act: Callable[[], None]) -> None:
+        """Something is to happen at a time."""
+        heapq.heappush(self._events, (max(when, self.now), next(self._order), act))
+
+    def after(self, seconds: float, act: Callable[[], None]) -> None:
+        """Something is to happen in a while."""
+        self.at(self.now + seconds, act)
+
+    def is_lost(self, zone: str) -> bool:
+        """Whether the zone has gone dark."""
+        return self.is_dark and zone in self._lost
+
+    def phase(self, arrived: float) -> Phase | None:
+        """What a request of that time counts to; the first ones count to nothing."""
+        if arrived < self._began + self.config.warm_seconds / 3:
+            return None
+        if arrived < self.loss_at:
+            return Phase.BEFORE
+        return Phase.UNSETTLED if arrived < self.settled_at else Phase.AFTER
+
+    def phase_seconds(self, phase: Phase) -> float:
+        """How long the phase is played."""
+        unsettled = self.settled_at - self.loss_at
+        return {
+            Phase.BEFORE: self.config.warm_seconds * 2 / 3,
+            Phase.UNSETTLED: unsettled,
+            Phase.AFTER: max(0.1, self.config.after_seconds - unsettled),
+        }[phase]
+
+    def delay(self, zone: str, target: KnownTarget) -> float:
+        """One way from a zone to a target."""
+        if zone == target.zone:
+            return self.config.in_zone
+        regions = self._snapshot.zone_regions
+        if regions.get(zone) == regions.get(target.zone):
+            return self.config.cross_zone
+        return self.config.cross_region
+
+    def _service_seconds(self, upstream: str) -> float:
+        known = self._snapshot.service_seconds.get(upstream)
+        if known is not None:
+            return known
+        # Without the targets' own figure the whole time stands in for it.
+        mappings = {mapping.name for mapping in self._snapshot.facts.rows.mappings
+                    if upstream in mapping.upstreams}
+        flows = [flow for flow in self._snapshot.flows if flow.mapping in mappings]
+        rate = sum(flow.per_second for flow in flows)
+        if not rate:
+            return 0.05
+        return max(1e-4, sum(flow.per_second * flow.seconds for flow in flows) / rate)
+
+    def _pause(self, flow: Flow) -> float:
+        # Evenly but for some jitter: a forecast tells what is to be expected.
+        return self.random.uniform(0.5, 1.5) / flow.per_second
+
+    def _arrive(self, flow: Flow, mapping: Mapping) -> None:
+        self.after(self._pause(flow), lambda: self._arrive(flow, mapping))
+        # Clients of a dark place are dark too.
+        if self.is_lost(flow.zone):
+            return
+        upstream = self.random.choices(mapping.upstreams, mapping.weights)[0]
+        origin = self.random.choice(self._origins[flow.zone])
+        Flight(self, origin, mapping, upstream).begin()
+
+    def _lose(self) -> None:
+        """The places go dark: what is under way there is lost with them."""
+        self.is_dark = True
+        for flight in list(self.flights):
+            flight.note_loss()
+        self.at(self.settled_at, self._learn_of_loss)
+        for upstream, owner in self._snapshot.owners.items():
+            zone = self._snapshot.registries.get(owner.agent)
+            if zone in self._lost:
+                self.after(TERM_SECONDS, lambda name=upstream: self.lapsed.add(name))
+
+    def _learn_of_loss(self) -> None:
+        # By now the probes of others have told every node.
+        self.view.suspects.update(
+            guard.target.node for guard in self.guards.values()
+            if self.is_lost(guard.target.zone))
+
+
+def detection_seconds(nodes: int) -> float:
+    """How long until all nodes suspect what went dark, by how members are probed."""
+    config = ProberConfig()
+    hops = math.log2(max(2, nodes))
+    return config.period + config.direct + config.indirect + hops * _PASS_ON_SECONDS
--- /dev/null
+++ b/marblefold/rehearsal/snapshot.py
@@ -0,0 +1,198 @@
+"""The state that a rehearsal starts from: one file of a documented, versioned form.
+
+Taken from a running registry, kept, compared and rehearsed later; what it
+lacks is said, and so is its age.
+"""
+
+import json
+from datetime import datetime, timedelta, timezone
+from typing import NamedTuple
+
+from marblefold.breakdowns import Breakdown
+from marblefold.operator_spec.reading import InvalidSpec
+from marblefold.planner.facts import Facts, read_spec_rows, read_state
+from marblefold.registry.traffic_book import Flow
+from marblefold.request_path.mesh_view import KnownOwner
+
+__all__ = ["FORMAT", "RetryBounds", "Snapshot", "VERSION", "read_snapshot"]
+
+FORMAT = "marblefold-snapshot"
+VERSION = 1
+_OLD = timedelta(minutes=10)
+_OLD_FLOW_SECONDS = 30.0
+
+
+class RetryBounds(NamedTuple):
+    """The budget of further tries that all nodes share."""
+
+    ratio: float
+    window: timedelta
+    slack: float
+
+
+class Snapshot(NamedTuple):
+    """Everything that a rehearsal knows."""
+
+    taken_at: datetime
+    facts: Facts
+    zone_regions: dict[str, str]
+    # Where requests begin: nodes and their zones.
+    origins: dict[str, str]
+    flows: tuple[Flow, ...]
+    service_seconds: dict[str, float]
+    registries: dict[str, str]
+    owners: dict[str, KnownOwner]
+    has_partners: bool
+    retry: RetryBounds
+    gaps: tuple[str, ...]
+
+    def age(self, now: datetime) -> timedelta:
+        """How old it is."""
+        return now - self.taken_at
+
+
+class _Fields:
+    """A document's fields, with every fault kept under its place."""
+
+    def __init__(self, document: dict) -> None:
+        self.document = document
+        self.faults: list[Breakdown] = []
+
+    def get(self, name: str, kind: type | tuple, default=None):
+        value = self.document.get(name, default)
+        if not isinstance(value, kind) or isinstance(value, bool) and kind is not bool:
+            self.fault(name, "missing or of the wrong kind")
+            return default
+        return value
+
+    def fault(self, place: str, reason: str) -> None:
+        self.faults.append(Breakdown("snapshot", f"{place}: {reason}"))
+
+    def words(self, name: str) -> dict[str, str]:
+        found = self.get(name, dict, {}) or {}
+        return {str(key): str(value) for key, value in found.items()}
+
+
+def read_snapshot(body: bytes) -> Snapshot:
+    """The checked snapshot; an ExceptionGroup of all that is wrong with it."""
+    try:
+        document = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        raise _refuse([Breakdown("snapshot", f"cannot be read: {error}")]) from error
+    if not isinstance(document, dict) or document.get("format") != FORMAT:
+        raise _refuse([Breakdown("snapshot", f"format: not a {FORMAT}")])
+    if document.get("version") != VERSION:
+        raise _refuse([Breakdown(
+            "snapshot", f"version: {document.get('version')!r}, this reads {VERSION}")])
+    fields = _Fields(document)
+    facts = _read_facts(fields)
+    taken_at = _read_time(fields)
+    zone_regions = fields.words("zones")
+    flows = _read_flows(fields, zone_regions)
+    retry = _read_retry(fields)
+    service = {}
+    for name, seconds in (fields.get("service-seconds", dict, {}) or {}).items():
+        if not isinstance(seconds, (int, float)) or isinstance(seconds, bool) or not (
+                0 < seconds < 1e6):
+            fields.fault(f"service-seconds.{name}", "not a time above 0")
+        else:
+            service[str(name)] = float(seconds)
+    owners = {}
+    for name, row in (fields.get("owners", dict, {}) or {}).items():
+        if not isinstance(row, dict):
+            fields.fault(f"owners.{name}", "not an object")
+            continue
+        owners[str(name)] = KnownOwner(str(row.get("site", "")), str(row.get("agent", "")), 1)
+    if not zone_regions:
+        fields.fault("zones", "none")
+    elif facts is not None and not facts.targets:
+        fields.fault("state.targets", "none: there is nothing to rehearse with")
+    if fields.faults:
+        raise _refuse(fields.faults)
+    return Snapshot(
+        taken_at, facts, zone_regions, fields.words("origins"), flows, service,
+        fields.words("registries"), owners, bool(document.get("partners")), retry,
+        tuple(_find_gaps(document, facts, flows, service)))
+
+
+def _refuse(faults: list[Breakdown]) -> ExceptionGroup:
+    return ExceptionGroup("snapshot", faults)
+
+
+def _read_facts(fields: _Fields) -> Facts | None:
+    spec, state = fields.get("spec", dict), fields.get("state", dict)
+    if spec is None or state is None:
+        return None
+    try:
+        return Facts(read_spec_rows(json.dumps(spec).encode()),
+                     *read_state(json.dumps(state).encode()))
+    except InvalidSpec as invalid:
+        for fault in invalid.faults:
+            fields.fault("spec", str(fault))
+    except Breakdown as breakdown:
+        fields.faults.append(breakdown)
+    return None
+
+
+def _read_time(fields: _Fields) -> datetime:
+    text = fields.get("taken-at", str, "")
+    try:
+        taken_at = datetime.fromisoformat(text)
+    except ValueError:
+        fields.fault("taken-at", "not a time")
+        return datetime.now(timezone.utc)
+    if taken_at.tzinfo is None:
+        fields.fault("taken-at", "without a time zone")
+    return taken_at
+
+
+def _read_flows(fields: _Fields, zones: dict[str, str]) -> tuple[Flow, ...]:
+    flows = []
+    for index, row in enumerate(fields.get("traffic", list, []) or []):
+        try:
+            flow = Flow(
+                str(row["mapping"]), str(row["zone"]), float(row["per-second"]),
+                float(row["seconds"]), float(row.get("refused-share", 0)),
+                float(row.get("unknown-share", 0)), float(row.get("age-s", 0)))
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            fields.fault(f"traffic[{index}]", f"{type(error).__name__} {error}")
+            continue
+        if not 0 <= flow.per_second < 1e7:
+            fields.fault(f"traffic[{index}].per-second", "out of range")
+        elif flow.zone not in zones:
+            fields.fault(f"traffic[{index}].zone", f"no zone {flow.zone!r}")
+        else:
+            flows.append(flow)
+    return tuple(flows)
+
+
+def _read_retry(fields: _Fields) -> RetryBounds:
+    row = fields.get("retry-budget", dict, {}) or {}
+    try:
+        return RetryBounds(
+            float(row.get("ratio", 0.2)), timedelta(seconds=float(row.get("window-s", 10))),
+            float(row.get("slack", 0)))
+    except (TypeError, ValueError, OverflowError) as error:
+        fields.fault("retry-budget", str(error))
+        return RetryBounds(0.0, timedelta(seconds=10), 0.0)
+
+
+def _find_gaps(document: dict, facts: Facts, flows, service: dict[str, float]):
+    heard, nodes = document.get("nodes-heard"), document.get("nodes")
+    if not flows:
+        yield "no traffic is known: no figure of requests rests on anything"
+    elif isinstance(heard, int) and isinstance(nodes, int) and heard < nodes:
+        yield f"traffic of {heard} of {nodes} nodes is known"
+    old = sum(1 for flow in flows if flow.age_seconds > _OLD_FLOW_SECONDS)
+    if old:
+        yield f"{old} of {len(flows)} rates are older than {_OLD_FLOW_SECONDS:g} s"
+    for upstream in sorted({target.upstream for target in facts.targets} - set(service)):
+        yield f"{upstream}: how long its targets take is not known, and taken from the whole time"
+    known = {mapping.name for mapping in facts.rows.mappings}
+    for name in sorted({flow.mapping for flow in flows} - known):
+        yield f"traffic of {name or 'mappings told as one'} belongs to no mapping of the spec"
+
+
+def is_old(snapshot: Snapshot, now: datetime) -> bool:
+    """Whether it may say little of now."""
+    return snapshot.age(now) > _OLD
--- a/marblefold/request_path/decision.py
+++ b/marblefold/request_path/decision.py
@@ -90,6 +90,11 @@
         """What elapsed times are divided by before they are compared."""
         return self._aim
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a target may have begun work on it."""
+        return self._may_have_run
+
     def note(self, target: KnownTarget, result: HopResult) -> None:
         """Takes in how a hop ended."""
         self._last = result
--- a/marblefold/request_path/executor.py
+++ b/marblefold/request_path/executor.py
@@ -2,6 +2,7 @@
 
 import random
 import time
+from typing import Protocol
 
 from marblefold.http_streams.answer import Answer, own_answer
 from marblefold.http_streams.downstream_request import (
@@ -15,13 +16,30 @@
 from marblefold.request_path.running_work import RunningWork
 from marblefold.request_path.surroundings import Surroundings
 
-__all__ = ["RequestExecutor"]
+__all__ = ["RequestExecutor", "RequestTracer"]
 
 # A body up to this is held, so that it can be offered once more.
 _HELD_BODY = 512 * 1024
 # A body up to this goes with its head; a larger one comes when it is let.
 _INLINE_BODY = 16 * 1024
 _NO_DEADLINE_SECONDS = 600.0
+# How a request ends that nobody waits for any more.
+_CANCELLED = Conclude(Answer(0), "cancelled")
+
+
+class RequestTracer(Protocol):
+    """What is told of the steps of a request."""
+
+    def begin_request(
+        self, request, mapping: Mapping, upstream: str, run_span, caller: str, body: bytes,
+        is_whole: bool,
+    ): ...
+
+    def finish_request(self, span, status: int, step: str, may_have_run: bool) -> None: ...
+
+    def begin_hop(self, span, head, instance: str, peer: str, attempt: int): ...
+
+    def finish_hop(self, hop, result: HopResult) -> None: ...
 
 
 class RequestExecutor:
@@ -31,6 +49,8 @@
         self, surroundings: Surroundings, hops: Hops, work: RunningWork, caller: str,
     ) -> None:
         self.caller = caller
+        # Told of every step, where this node traces.
+        self.tracer: RequestTracer | None = None
         self._work = work
         self._surroundings = surroundings
         self.hops = hops
@@ -84,24 +104,35 @@
             head.repeat_run = parent.is_repeat
             if parent.is_repeat:
                 surroundings.note_repeat(upstream, now)
-        while True:
-            step = decision.next_step(time.monotonic())
-            if isinstance(step, Conclude):
-                if step.answer.status >= 500 and step.step != "answered":
-                    log.info("gave up", attempt=request.attempt_id, step=step.step,
-                             status=step.answer.status, upstream=upstream)
-                if step.answer.status < 300:
-                    surroundings.note_answer(mapping.name, len(step.answer.body) / 1024)
-                return step.answer
-            # What is held whole can be sent again from its beginning.
-            sent = HeldRequest(request, body) if is_whole and head.body_follows else request
-            result = await self._hop(step, head, sent, decision, body_limit)
-            decision.note(step.target, result)
+        span = None
+        if self.tracer is not None:
+            span = self.tracer.begin_request(
+                request, mapping, upstream, parent.span if parent is not None else None,
+                self.caller, body, is_whole)
+        end = _CANCELLED
+        try:
+            while not isinstance(step := decision.next_step(time.monotonic()), Conclude):
+                # What is held whole can be sent again from its beginning.
+                sent = HeldRequest(request, body) if is_whole and head.body_follows else request
+                result = await self._hop(step, head, sent, decision, body_limit, span)
+                decision.note(step.target, result)
+            end = step
+        finally:
+            surroundings.traffic.note(
+                mapping.name, end.answer.status, time.monotonic() - request.arrived)
+            if span is not None:
+                self.tracer.finish_request(
+                    span, end.answer.status, end.step, decision.may_have_run)
+        if end.answer.status >= 500 and end.step != "answered":
+            log.info("gave up", attempt=request.attempt_id, step=end.step,
+                     status=end.answer.status, upstream=upstream)
+        if end.answer.status < 300:
+            surroundings.note_answer(mapping.name, len(end.answer.body) / 1024)
+        return end.answer
 
     async def _hop(
         self, offer: Offer, head, request: DownstreamRequest | HeldRequest,
-        decision: RequestDecision,
-        body_limit: int,
+        decision: RequestDecision, body_limit: int, span,
     ) -> HopResult:
         target = offer.target
         head.expected_instance = target.instance
@@ -116,12 +147,19 @@
             surroundings.note_repeat(target.upstream, time.monotonic())
         ticket = surroundings.begin(target, decision.weight, head.attempt_id)
         result = HopResult(HopOutcome.UNKNOWN, step="cancelled")
+        hop = None
+        if span is not None:
+            peer = target.mate if self.hops.has_guard(target.upstream) else ""
+            hop = self.tracer.begin_hop(
+                span, head, target.instance, peer, offer.attempt_number)
         try:
             result = await self.hops.send(
                 target.mate, head, request, body_limit, offer.seconds_left)
             return result
         finally:
             surroundings.end(target, ticket, result, decision.weight)
+            if hop is not None:
+                self.tracer.finish_hop(hop, result)
 
     def _find_mapping(self, request: DownstreamRequest) -> tuple[Answer | None, Mapping | None]:
         """The mapping of the request, or the answer that refuses it."""
--- a/marblefold/request_path/guard.py
+++ b/marblefold/request_path/guard.py
@@ -6,13 +6,14 @@
 
 import asyncio
 import time
+from typing import Protocol
 
 from marblefold import wire_names
 from marblefold.http_streams.target_streams import TargetStreams
 from marblefold.inner_protocol.frames import FrameKind
 from marblefold.inner_protocol.exchange import Exchange
 from marblefold.inner_protocol.messages import kinds
-from marblefold.node_config.reading import Address, Bounds
+from marblefold.node_config.model import Address, Bounds
 from marblefold.request_path.cold_limit import ColdLimit
 from marblefold.request_path.intake import Intake
 from marblefold.request_path.local_target import LocalTarget, TargetState
@@ -21,8 +22,9 @@
 from marblefold.request_path.running_work import Run, RunningWork
 from marblefold.request_path.slot_queue import SlotQueue, Turn
 from marblefold.request_path.target_caller import TargetCaller
+from marblefold.request_path.upstream_limits import find_cold_most, find_slots
 
-__all__ = ["Guard"]
+__all__ = ["Guard", "GuardTracer"]
 
 # A leaving target takes what has no other place to go for this part of its
 # drain time; the rest of that time is for what is then under way.
@@ -43,6 +45,14 @@
 _SHUN_SECONDS = 0.2
 
 
+class GuardTracer(Protocol):
+    """What is told of the hops that come to a guard."""
+
+    def begin_serve(self, head): ...
+
+    def finish_serve(self, span, answer, body_bytes: int) -> None: ...
+
+
 class Guard:
     """Asks nobody else whether a hop may go to the target."""
 
@@ -64,6 +74,8 @@
         self._offered: dict[Exchange, float] = {}
         self._unreachable_until = 0.0
         self._leaving_since: float | None = None
+        # Told of every hop, where this node traces.
+        self.tracer: GuardTracer | None = None
 
     @property
     def in_progress(self) -> int:
@@ -109,8 +121,12 @@
                 exchange.on_cancel()
 
     async def _serve(self, exchange: Exchange, head) -> None:
+        span = None
+        if self.tracer is not None and head.trace_id:
+            span = self.tracer.begin_serve(head)
+        answer = None
         try:
-            answer = await self._pass(exchange, head, time.monotonic())
+            answer = await self._pass(exchange, head, time.monotonic(), span)
             answer.running = self.slots.running
             answer.waiting = self.slots.waiting + self._intake.waiting
             answer.slots = self.slots.limit
@@ -123,8 +139,10 @@
             raise
         finally:
             exchange.close()
+            if span is not None:
+                self.tracer.finish_serve(span, answer, exchange.incoming.taken or len(head.body))
 
-    async def _pass(self, exchange: Exchange, head, came: float):
+    async def _pass(self, exchange: Exchange, head, came: float, span):
         refusal = self._find_refusal(head)
         if refusal is not None:
             return refusal
@@ -140,10 +158,12 @@
             if step:
                 return _refuse(step, _REFUSED_RETRY_SECONDS)
         if not await self.slots.take(turn, longest):
-            return _refuse("no slot in time", max(
-                _REFUSED_RETRY_SECONDS, self.slots.expected_wait(turn)))
+            wait = max(_REFUSED_RETRY_SECONDS, self.slots.expected_wait(turn))
+            return _refuse("no slot in time", wait)
         started = time.monotonic()
-        run = Run(head.attempt_id, head.repeat_run or head.attempt_number > 1)
+        run = Run(head.attempt_id, head.repeat_run or head.attempt_number > 1, span)
+        if span is not None:
+            span.queued = started - came
         try:
             # What held before the wait may not hold any more.
             refusal = self._find_refusal(head)
@@ -152,7 +172,8 @@
             left = deadline - started
             if left < _LEAST_SECONDS:
                 return _refuse("deadline", 0.0)
-            if not self.cold.may_offer(started, self._cold_most(head.upstream)):
+            most = find_cold_most(self._view, self._bounds, head.upstream)
+            if not self.cold.may_offer(started, most):
                 return _refuse("cold", self.cold.retry_after(started))
             head.deadline_left_ms = max(1, int(left * 1000))
             self._offered[exchange] = started
@@ -167,11 +188,10 @@
         if answer.outcome == HopOutcome.NEVER_OFFERED:
             self._unreachable_until = time.monotonic() + _SHUN_SECONDS
             answer.retry_after_ms = int(_SHUN_SECONDS * 1000)
-        self._learn(answer, started)
+        self._learn(answer, time.monotonic() - started)
         return answer
 
-    def _learn(self, answer, started: float) -> None:
-        seconds = time.monotonic() - started
+    def _learn(self, answer, seconds: float) -> None:
         answer.service_us = int(seconds * 1e6)
         if answer.outcome == HopOutcome.ANSWERED:
             self.slots.note_service(seconds)
@@ -198,7 +218,7 @@
             return _refuse(target.state.value, 0.0)
         if target.zone in self._view.evacuated:
             return _refuse("evacuated", 0.0)
-        limit = self._find_limit(target)
+        limit = find_slots(self._view, target)
         if self.slots.limit != limit:
             self.slots.set_limit(limit)
         self.cold.cold_until = target.cold_until
@@ -222,24 +242,7 @@
             return False
         return not head.last_resort or age > grace * _LEAVING_SHARE
 
-    def _find_limit(self, target: LocalTarget) -> int:
-        """How many at once: each takes a slot, and a stream to the target."""
-        table = self._view.table
-        known = table.upstreams.get(target.upstream) if table is not None else None
-        return target.slots if known is None else max(1, min(target.slots, known.stream_limit))
-
-    def _cold_most(self, upstream: str) -> float:
-        table = self._view.table
-        known = table.upstreams.get(upstream) if table is not None else None
-        if known is None or known.coldstart_per_s <= 0:
-            return 1e9
-        bounds = self._bounds
-        # One below the bound: the target's second may begin apart from ours.
-        return max(1.0, known.coldstart_per_s * bounds.cold_overage + bounds.cold_slack - 2)
-
 
 def _refuse(step: str, retry_after: float):
     return kinds.AnswerHead(
-        outcome=HopOutcome.NEVER_OFFERED, step=step,
-        retry_after_ms=int(retry_after * 1000),
-    )
+        outcome=HopOutcome.NEVER_OFFERED, step=step, retry_after_ms=int(retry_after * 1000))
--- a/marblefold/request_path/hop_sender.py
+++ b/marblefold/request_path/hop_sender.py
@@ -35,6 +35,8 @@
         self, mate: str, head, request: DownstreamRequest, body_bound: int, seconds: float,
     ) -> HopResult: ...
 
+    def has_guard(self, upstream: str) -> bool: ...
+
 
 class HopSender:
     """Carries hops over the streams to mates."""
@@ -61,6 +63,10 @@
                     self._on_silent(stream.mate)
                     stream.break_off_repeatable(Breakdown("silent", "no sign of life", stream.mate))
 
+    def has_guard(self, upstream: str) -> bool:
+        """Hops end at a guard, whatever the upstream."""
+        return True
+
     async def send(
         self, mate: str, head, request: DownstreamRequest, body_bound: int, seconds: float,
     ) -> HopResult:
--- a/marblefold/request_path/running_work.py
+++ b/marblefold/request_path/running_work.py
@@ -16,6 +16,8 @@
 
     attempt_id: str
     is_repeat: bool
+    # Its span, where this node traces.
+    span: object = None
 
 
 class RunningWork:
--- a/marblefold/request_path/slot_queue.py
+++ b/marblefold/request_path/slot_queue.py
@@ -27,6 +27,11 @@
         self._order = itertools.count()
         self._waiting: list[tuple[Turn, int, asyncio.Future]] = []
 
+    @property
+    def service_seconds(self) -> float:
+        """What a request takes the target, as learned."""
+        return self._service_seconds
+
     @property
     def waiting(self) -> int:
         """How many wait for a slot."""
--- a/marblefold/request_path/surroundings.py
+++ b/marblefold/request_path/surroundings.py
@@ -2,7 +2,7 @@
 
 import time
 from datetime import timedelta
-from typing import Collection
+from typing import Callable, Collection
 
 from marblefold.circuit_breaker.breaker import Breaker, Passage
 from marblefold.circuit_breaker.crowd_control import CrowdConfig, CrowdControl
@@ -13,6 +13,7 @@
 from marblefold.request_path.nomination import Nominator, Nominee
 from marblefold.request_path.outcome import HopOutcome, HopResult
 from marblefold.request_path.retry_budget import RetryBudget
+from marblefold.request_path.traffic_count import TrafficCount
 
 __all__ = ["Surroundings"]
 
@@ -31,11 +32,14 @@
 
     def __init__(
         self, view: MeshView, nominator: Nominator, bounds: Bounds, limits: Limits,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
+        self._clock = clock
+        self.traffic = TrafficCount()
         self.view = view
         self.nominator = nominator
         self.crowd = CrowdControl(CrowdConfig(_count_resources(limits)))
-        self._bounds = bounds
+        self.bounds = bounds
         self._breakers: dict[str, Breaker] = {}
         self._budgets: dict[str, RetryBudget] = {}
         self._answer_kilobytes: dict[str, float] = {}
@@ -74,11 +78,11 @@
     def begin(self, target: KnownTarget, weight: float, what: str) -> Ticket:
         """A hop leaves."""
         self.nominator.begin(target)
-        return self.breaker(target.upstream).begin(time.monotonic(), weight, what)
+        return self.breaker(target.upstream).begin(self._clock(), weight, what)
 
     def end(self, target: KnownTarget, ticket: Ticket, result: HopResult, weight: float) -> None:
         """A hop is over."""
-        now = time.monotonic()
+        now = self._clock()
         nominator = self.nominator
         nominator.end(target)
         answered = result.outcome is HopOutcome.ANSWERED
@@ -129,7 +133,7 @@
         budget = self._budgets.get(upstream)
         if budget is None:
             budget = self._budgets[upstream] = RetryBudget(
-                self._bounds.retry_ratio, self._bounds.retry_window, self._bounds.retry_slack)
+                self.bounds.retry_ratio, self.bounds.retry_window, self.bounds.retry_slack)
         return budget
 
 
--- /dev/null
+++ b/marblefold/request_path/traffic_count.py
@@ -0,0 +1,78 @@
+"""Counts the requests that begin at this node, by mapping.
+
+Cumulative and small: whoever hears two counts knows the rate between them,
+and a count that is lost costs nothing.
+"""
+
+import time
+
+from marblefold.inner_protocol.messages import kinds
+
+__all__ = ["TrafficCount"]
+
+# A notice names so many mappings; the least used ones are told as one.
+_MOST_MAPPINGS = 48
+OTHERS = ""
+
+
+class _Counts:
+    """The requests of one mapping since the start."""
+
+    __slots__ = ("requests", "answered", "refused", "unknown", "seconds")
+
+    def __init__(self) -> None:
+        self.requests = self.answered = self.refused = self.unknown = 0
+        self.seconds = 0.0
+
+
+class TrafficCount:
+    """Told of the end of every request; asked at times for a notice."""
+
+    def __init__(self) -> None:
+        self._counts: dict[str, _Counts] = {}
+        self._life = int(time.time() * 1000)
+        self._number = 0
+        self._told = -1
+
+    def note(self, mapping: str, status: int, seconds: float) -> None:
+        """A request is over."""
+        counts = self._counts.get(mapping)
+        if counts is None:
+            counts = self._counts[mapping] = _Counts()
+        counts.requests += 1
+        counts.seconds += seconds
+        if status in (429, 503):
+            counts.refused += 1
+        elif status in (0, 502, 504):
+            counts.unknown += 1
+        else:
+            counts.answered += 1
+
+    def make_notice(
+        self, node: str, zone: str, region: str, service_seconds: float,
+    ) -> kinds.TrafficNotice | None:
+        """The counts as they stand; None where nothing came since the last one."""
+        total = sum(counts.requests for counts in self._counts.values())
+        if total == self._told:
+            return None
+        self._told = total
+        self._number += 1
+        notice = kinds.TrafficNotice(
+            node=node, node_life=self._life, number=self._number, zone=zone, region=region,
+            service_us=int(service_seconds * 1e6))
+        ranked = sorted(self._counts.items(), key=lambda item: -item[1].requests)
+        for name, counts in ranked[:_MOST_MAPPINGS]:
+            _add(notice.mappings.add(mapping=name), counts)
+        if ranked[_MOST_MAPPINGS:]:
+            rest = notice.mappings.add(mapping=OTHERS)
+            for _name, counts in ranked[_MOST_MAPPINGS:]:
+                _add(rest, counts)
+        return notice
+
+
+def _add(row, counts: _Counts) -> None:
+    row.requests += counts.requests
+    row.answered += counts.answered
+    row.refused += counts.refused
+    row.unknown += counts.unknown
+    row.milliseconds += int(counts.seconds * 1000)
--- /dev/null
+++ b/marblefold/tracing/command.py
@@ -0,0 +1,132 @@
+"""The command line over the traces of a running system."""
+
+import asyncio
+import json
+import sys
+from urllib.parse import quote, urlencode
+
+from absl import flags
+
+from marblefold import wire_names
+from marblefold.breakdowns import Breakdown
+from marblefold.registry_client import ask_all
+from marblefold.tracing.assembling import Trace, assemble
+from marblefold.tracing.showing import to_json, to_otlp, to_text
+
+__all__ = ["run_trace"]
+
+FLAGS = flags.FLAGS
+flags.DEFINE_string("registry", "", "Registry to ask, HOST:PORT.")
+flags.DEFINE_enum("format", "text", ["text", "json", "otlp"], "How traces are printed.")
+flags.DEFINE_string("kind", "", "Only traces kept as order, upload, sample or marked.")
+flags.DEFINE_string("outcome", "", "Only requests that ended so, such as unknown.")
+flags.DEFINE_float("since_s", 0.0, "Only requests begun in the last so many seconds.")
+flags.DEFINE_integer("limit", 50, "How many are listed.", lower_bound=1, upper_bound=200)
+
+_WHOLE, _INCOMPLETE, _USAGE = 0, 1, 2
+
+
+def run_trace(words: list[str]) -> int:
+    """trace show ATTEMPT_ID|TRACE_ID | doubles | list."""
+    is_call = words[:1] == ["show"] and len(words) == 2 or words in (["doubles"], ["list"])
+    if not is_call or not FLAGS.registry:
+        print("usage: python3 -m marblefold trace --registry=HOST:PORT "
+              "show ATTEMPT_ID|TRACE_ID | doubles | list", file=sys.stderr)
+        return _USAGE
+    try:
+        if words[0] == "show":
+            return asyncio.run(_show(words[1]))
+        return asyncio.run(_doubles() if words[0] == "doubles" else _list())
+    except Breakdown as breakdown:
+        print(breakdown, file=sys.stderr)
+        return _USAGE
+
+
+async def _fetch(name: str) -> tuple[Trace | None, list[str]]:
+    """One trace, put together from all registries that answer."""
+    path = wire_names.TRACE_PATH.format(quote(name, safe=""))
+    answers, silent = await ask_all(FLAGS.registry, path)
+    _complain_of_refusals(answers)
+    found = [document for status, document in answers if status == 200]
+    if not found:
+        return None, silent
+    trace_id = found[0]["trace"]
+    # Whoever knows the request by its id tells the trace; all are asked for that.
+    if name != trace_id:
+        return await _fetch(trace_id)
+    rows = [row for document in found for row in document["spans"]]
+    return assemble(trace_id, rows, any(document["shed"] for document in found)), silent
+
+
+async def _show(name: str) -> int:
+    trace, silent = await _fetch(name)
+    _tell_silent(silent)
+    if trace is None:
+        print(f"no trace of {name}", file=sys.stderr)
+        return _INCOMPLETE
+    _print([trace])
+    return _WHOLE if trace.is_whole else _INCOMPLETE
+
+
+async def _doubles() -> int:
+    answers, silent = await ask_all(FLAGS.registry, wire_names.DOUBLES_PATH)
+    _complain_of_refusals(answers)
+    _tell_silent(silent)
+    groups: dict[str, dict[str, str]] = {}
+    for _status, document in answers:
+        for group in document["doubles"]:
+            groups.setdefault(group["digest"], {}).update(group["tries"])
+    status = _WHOLE
+    traces = []
+    for digest, tries in sorted(groups.items()):
+        if FLAGS.format == "text":
+            print(f"order {digest} came as {', '.join(sorted(tries))}")
+        for trace_id in sorted(set(tries.values())):
+            trace, _silent = await _fetch(trace_id)
+            if trace is None or not trace.is_whole:
+                status = _INCOMPLETE
+            traces.extend([trace] if trace is not None else [])
+    _print(traces)
+    return status
+
+
+async def _list() -> int:
+    asked = {"limit": FLAGS.limit}
+    for name, value in (("kind", FLAGS.kind), ("outcome", FLAGS.outcome),
+                        ("since-s", FLAGS.since_s)):
+        if value:
+            asked[name] = value
+    answers, silent = await ask_all(
+        FLAGS.registry, f"{wire_names.TRACES_PATH}?{urlencode(asked)}")
+    _complain_of_refusals(answers)
+    _tell_silent(silent)
+    rows = {row["span_id"]: row for _status, document in answers for row in document["traces"]}
+    newest = sorted(rows.values(), key=lambda row: -row["start_us"])[:FLAGS.limit]
+    if FLAGS.format != "text":
+        print(json.dumps(newest, indent=2))
+        return _WHOLE
+    for row in newest:
+        print(f"{row['trace_id']} {row['attempt_id']} {row['mapping']} status {row['status']} "
+              f"{row['duration_us'] / 1000:.1f} ms {row['step']}")
+    return _WHOLE
+
+
+def _print(traces: list[Trace]) -> None:
+    if FLAGS.format == "otlp":
+        print(to_otlp(traces))
+    elif FLAGS.format == "json":
+        print(json.dumps([to_json(trace) for trace in traces], indent=2))
+    else:
+        for trace in traces:
+            print(to_text(trace), end="")
+
+
+def _complain_of_refusals(answers: list[tuple[int, dict]]) -> None:
+    for status, document in answers:
+        if status not in (200, 404):
+            raise Breakdown("ask registry", f"status {status}: {document.get('reason', '')}")
+
+
+def _tell_silent(silent: list[str]) -> None:
+    for registry in silent:
+        print(f"{registry} gave no answer: what only it holds is missing", file=sys.stderr)
--- /dev/null
+++ b/marblefold/tracing/exporter.py
@@ -0,0 +1,104 @@
+"""Sends what a node keeps to the registries that each trace falls to.
+
+Off the path, a bounded number of spans a second, each to two registries by
+rendezvous, so that the loss of one loses no trace.
+"""
+
+import asyncio
+import time
+import zlib
+from datetime import timedelta
+from typing import Callable, Collection, NamedTuple
+
+from marblefold.inner_protocol.messages import kinds
+from marblefold.tracing.recorder import Batch, Recorder
+from marblefold.tracing.span import Span, pack_span
+
+__all__ = ["Exporter", "ExporterConfig", "rank_collectors"]
+
+_COPIES = 2
+
+
+class ExporterConfig(NamedTuple):
+    """How much leaves this node."""
+
+    every: timedelta = timedelta(seconds=1)
+    spans: int = 64
+
+
+def rank_collectors(trace_id: bytes, registries: Collection[str]) -> list[str]:
+    """The registries by how near the trace falls to them; alike on all nodes."""
+    return sorted(registries, key=lambda registry: (
+        zlib.crc32(trace_id + registry.encode()), registry))
+
+
+class Exporter:
+    """Owns the way out of the recorder."""
+
+    def __init__(
+        self, recorder: Recorder, node: str, zone: str, address: str,
+        registries: Callable[[], Collection[str]],
+        send: Callable[[str, object], bool], config: ExporterConfig = ExporterConfig(),
+    ) -> None:
+        self._recorder = recorder
+        self._node = node
+        self._zone = zone
+        self._address = address
+        self._registries = registries
+        self._send = send
+        self._config = config
+
+    async def run(self) -> None:
+        """Exports regularly, for ever."""
+        while True:
+            await asyncio.sleep(self._config.every.total_seconds())
+            self.export_now()
+
+    def export_now(self) -> None:
+        """Sends what is due, with times of this node's time of day."""
+        self.export(time.time() - time.monotonic())
+
+    def export(self, epoch_offset: float) -> None:
+        """Sends what is due to whoever takes it."""
+        batch = self._recorder.take_batch(self._config.spans)
+        if not batch.spans and not batch.shed:
+            return
+        registries = self._registries()
+        parts: dict[str, kinds.SpanBatch] = {}
+
+        def part(registry: str) -> kinds.SpanBatch:
+            if registry not in parts:
+                parts[registry] = kinds.SpanBatch(
+                    node=self._node, zone=self._zone, address=self._address,
+                    lost=self._recorder.lost)
+            return parts[registry]
+
+        for span in batch.spans:
+            packed = pack_span(span, epoch_offset)
+            for registry in _find_collectors(span, registries):
+                part(registry).spans.append(packed)
+        for trace_id in batch.shed:
+            # All must know, for a span may have gone to any of them before.
+            for registry in registries:
+                part(registry).shed.append(trace_id)
+        taken = {registry for registry, message in parts.items()
+                 if self._send(registry, message)}
+        self._give_back(batch, taken, registries)
+
+    def _give_back(self, batch: Batch, taken: set[str], registries: Collection[str]) -> None:
+        """What not one registry took waits for the next time."""
+        untaken = [
+            span for span in batch.spans
+            if not taken & set(_find_collectors(span, registries))]
+        shed = batch.shed if not taken else []
+        if untaken or shed:
+            self._recorder.give_back(Batch(untaken, shed))
+
+
+def _find_collectors(span: Span, registries: Collection[str]) -> list[str]:
+    found = rank_collectors(span.trace_id, registries)[:_COPIES]
+    if span.digest:
+        # Tries of one order meet at a registry, whatever their traces.
+        meeting = rank_collectors(span.digest, registries)[:_COPIES]
+        found.extend(registry for registry in meeting if registry not in found)
+    return found
--- /dev/null
+++ b/marblefold/tracing/node_tracing.py
@@ -0,0 +1,80 @@
+"""The parts of tracing that a proxy runs, put together."""
+
+import asyncio
+from datetime import timedelta
+
+from marblefold.breakdowns import Breakdown
+from marblefold.inner_protocol.frames import FrameKind
+from marblefold.inner_protocol.mate_book import MateBook
+from marblefold.inner_protocol.messages import kinds, pack_message
+from marblefold.node_config.reading import NodeConfig
+from marblefold.proxy.registry_follower import RegistryFollower
+from marblefold.request_path.mesh_view import MeshView
+from marblefold.task_keeper import TaskKeeper
+from marblefold.tracing.exporter import Exporter, ExporterConfig
+from marblefold.tracing.recorder import Recorder, RecorderConfig
+from marblefold.program_flags import TraceOptions
+from marblefold.tracing.tracer import Tracer, TraceSettings
+
+__all__ = ["NodeTracing"]
+
+# A mate that cannot be reached for a mark is tried once more.
+_MARK_TRIES = 2
+_MARK_PAUSE = timedelta(milliseconds=500)
+_OUTBOX_SECONDS = 8
+
+
+class NodeTracing:
+    """Recorder, tracer and exporter of one proxy, and the marks between proxies."""
+
+    def __init__(
+        self, options: TraceOptions, config: NodeConfig, address: str, view: MeshView,
+        follower: RegistryFollower, tasks: TaskKeeper, peers: MateBook | None = None,
+    ) -> None:
+        self._peers = peers
+        self._tasks = tasks
+        self._address = address
+        # What waits for longer than this has been overtaken by what came after.
+        outbox = options.spans_per_second * _OUTBOX_SECONDS
+        self.recorder = Recorder(RecorderConfig(options.ring, outbox), self._on_mark)
+        self.tracer = Tracer(self.recorder, TraceSettings(
+            options.sample_rate, options.kept_per_second, config.trace_key.encode()), address)
+        self._exporter = Exporter(
+            self.recorder, config.node_name, config.zone, address,
+            lambda: view.registries, follower.send_to,
+            ExporterConfig(spans=options.spans_per_second))
+
+    async def run(self) -> None:
+        """Exports, for ever."""
+        await self._exporter.run()
+
+    def export_rest(self) -> None:
+        """This node ends: what it keeps goes out now."""
+        while self.recorder.waiting:
+            waiting = self.recorder.waiting
+            self._exporter.export_now()
+            if self.recorder.waiting >= waiting:
+                return
+
+    def take(self, message: object) -> None:
+        """A mate passes a mark on."""
+        if isinstance(message, kinds.TraceMark):
+            self.recorder.mark(message.trace_id)
+
+    def _on_mark(self, trace_id: bytes, peers: list[str]) -> None:
+        """What the hops of this trace touched keeps its part too."""
+        for peer in peers:
+            if self._peers is not None and peer != self._address:
+                self._tasks.start(self._tell(peer, trace_id))
+
+    async def _tell(self, peer: str, trace_id: bytes) -> None:
+        payload = pack_message(kinds.TraceMark(trace_id=trace_id))
+        for _ in range(_MARK_TRIES):
+            try:
+                stream = await self._peers.reach(peer)
+            except Breakdown:
+                # It may be dark: its part is then shown as missing.
+                await asyncio.sleep(_MARK_PAUSE.total_seconds())
+                continue
+            stream.send(FrameKind.TELL, 0, payload)
+            return
--- /dev/null
+++ b/marblefold/tracing/showing.py
@@ -0,0 +1,126 @@
+"""Shows traces: as text for people, as JSON and as OTLP for programs."""
+
+import json
+from typing import Iterator
+
+from marblefold.request_path.outcome import HopOutcome
+from marblefold.tracing.assembling import Step, Trace
+from marblefold.tracing.span import SpanKind
+
+__all__ = ["to_json", "to_otlp", "to_text"]
+
+_SHOWN_SKEW_US = 1000
+
+
+def to_text(trace: Trace) -> str:
+    """The trace as an indented tree."""
+    lines = [f"trace {trace.trace_id}: {'whole' if trace.is_whole else 'incomplete'}"]
+    for root in trace.roots:
+        lines.extend(_lines(root, root.row["start_us"], 1))
+    if trace.is_shed:
+        lines.append("  given up by a node that could not keep it")
+    lines.extend(f"  missing: {what}" for what in trace.missing)
+    return "\n".join(lines) + "\n"
+
+
+def to_json(trace: Trace) -> dict:
+    """The trace as one object."""
+    return {
+        "trace": trace.trace_id, "whole": trace.is_whole, "shed": trace.is_shed,
+        "missing": list(trace.missing), "roots": [_to_object(root) for root in trace.roots]}
+
+
+def to_otlp(traces: list[Trace]) -> str:
+    """The traces in the JSON form of OTLP, by its own library."""
+    from google.protobuf import json_format
+    from opentelemetry.proto.common.v1.common_pb2 import AnyValue, KeyValue
+    from opentelemetry.proto.trace.v1 import trace_pb2
+
+    data = trace_pb2.TracesData()
+    scopes: dict[str, object] = {}
+
+    def attribute(key: str, value: object) -> KeyValue:
+        kept = AnyValue(int_value=value) if isinstance(value, int) else AnyValue(
+            string_value=str(value))
+        return KeyValue(key=key, value=kept)
+
+    def add(step: Step) -> None:
+        row = step.row
+        if row["node"] not in scopes:
+            resource = data.resource_spans.add()
+            resource.resource.attributes.extend([
+                attribute("service.name", "marblefold"),
+                attribute("service.instance.id", row["node"]),
+                attribute("cloud.availability_zone", row["zone"])])
+            scopes[row["node"]] = resource.scope_spans.add()
+        span = scopes[row["node"]].spans.add(
+            trace_id=bytes.fromhex(row["trace_id"]), span_id=bytes.fromhex(row["span_id"]),
+            name=f"{SpanKind(row['kind']).name.lower()} {row['mapping'] or row['upstream']}",
+            kind={SpanKind.HOP: 3}.get(row["kind"], 2),
+            start_time_unix_nano=row["start_us"] * 1000,
+            end_time_unix_nano=(row["start_us"] + row["duration_us"]) * 1000)
+        if row["parent"].strip("0"):
+            span.parent_span_id = bytes.fromhex(row["parent"])
+        if row["outcome"] != HopOutcome.ANSWERED or row["status"] >= 500:
+            span.status.code = trace_pb2.Status.STATUS_CODE_ERROR
+            span.status.message = row["step"]
+        span.attributes.extend(
+            attribute(f"marblefold.{name}", row[name])
+            for name in ("attempt_id", "target", "attempt", "outcome", "step", "queued_us",
+                         "body_bytes", "digest"))
+        if row["status"]:
+            span.attributes.append(attribute("http.response.status_code", row["status"]))
+        for child in step.children:
+            add(child)
+
+    for trace in traces:
+        for root in trace.roots:
+            add(root)
+    # OTLP wants ids as hexadecimal digits, where plain protobuf JSON has base64.
+    document = json_format.MessageToDict(data)
+    for resource in document.get("resourceSpans", ()):
+        for scope in resource["scopeSpans"]:
+            for span in scope["spans"]:
+                _write_ids(span)
+    return json.dumps(document, indent=2)
+
+
+def _write_ids(span: dict) -> None:
+    import base64
+
+    for name in ("traceId", "spanId", "parentSpanId"):
+        if name in span:
+            span[name] = base64.b64decode(span[name]).hex()
+
+
+def _lines(step: Step, origin_us: int, depth: int) -> Iterator[str]:
+    row = step.row
+    outcome = HopOutcome(row["outcome"]).name.lower() if row["outcome"] else "under way"
+    what = {
+        SpanKind.REQUEST: f"request {row['attempt_id']} {row['mapping']}",
+        SpanKind.HOP: f"hop {row['attempt']} to {row['target']}",
+        SpanKind.SERVE: f"served by {row['target']}",
+    }[SpanKind(row["kind"])]
+    parts = [
+        f"{(row['start_us'] - origin_us) / 1000:+.1f} ms", what, f"at {row['node']}",
+        f"zone {row['zone']}", f"{row['duration_us'] / 1000:.1f} ms", outcome]
+    if row["status"]:
+        parts.append(f"status {row['status']}")
+    if row["step"]:
+        parts.append(f"step: {row['step']}")
+    if row["queued_us"]:
+        parts.append(f"queued {row['queued_us'] / 1000:.1f} ms")
+    if row["body_bytes"]:
+        parts.append(f"body {row['body_bytes']} bytes")
+    if row["inferred"]:
+        parts.append("link inferred")
+    if abs(step.skew_us) >= _SHOWN_SKEW_US:
+        parts.append(f"clock off by {step.skew_us / 1000:.1f} ms")
+    yield "  " * depth + ", ".join(parts)
+    for child in step.children:
+        yield from _lines(child, origin_us, depth + 1)
+
+
+def _to_object(step: Step) -> dict:
+    return {**step.row, "skew-us": step.skew_us,
+            "children": [_to_object(child) for child in step.children]}
--- /dev/null
+++ b/marblefold/tracing/starting.py
@@ -0,0 +1,23 @@
+"""Starts tracing in a program, where its flags ask for it."""
+
+from marblefold.inner_protocol.mate_book import MateBook
+from marblefold.node_config.model import NodeConfig
+from marblefold.program_flags import read_trace_options
+from marblefold.proxy.registry_follower import RegistryFollower
+from marblefold.request_path.mesh_view import MeshView
+from marblefold.task_keeper import TaskKeeper
+
+__all__ = ["start_tracing"]
+
+
+def start_tracing(
+    config: NodeConfig, address: str, view: MeshView, follower: RegistryFollower,
+    tasks: TaskKeeper, peers: MateBook | None = None,
+):
+    """The parts of tracing, or None; a program without it imports none of them."""
+    options = read_trace_options()
+    if options is None:
+        return None
+    from marblefold.tracing.node_tracing import NodeTracing
+
+    return NodeTracing(options, config, address, view, follower, tasks, peers)
--- a/marblefold/wire_names.py
+++ b/marblefold/wire_names.py
@@ -67,6 +67,11 @@
 MAINTENANCE_PATH = "/mesh/maintenance"
 FLOORS_PATH = "/mesh/maintenance/floors"
 WINDOW_PATH = "/mesh/maintenance/windows/{}"
+TRACES_PATH = "/mesh/traces"
+TRACE_PATH = "/mesh/traces/{}"
+DOUBLES_PATH = "/mesh/doubles"
+SNAPSHOT_PATH = "/mesh/snapshot"
+REHEARSAL_PATH = "/mesh/rehearsal"
 
 # Headers.
 ATTEMPT_ID = b"Attempt-Id"
--- a/tests/mesh_on_loopback.py
+++ b/tests/mesh_on_loopback.py
@@ -53,6 +53,8 @@
     def __init__(self, host, port):
         self.host, self.port, self.instance, self.ran = host, port, f"i-{host}", []
         self.spoil = None
+        # Awaited in the midst of each run.
+        self.in_run = None
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, self.host, self.port)
@@ -65,6 +67,8 @@
                 method, path, _version = lines[0].split(" ")
                 headers = dict(line.split(": ", 1) for line in lines[1:] if line)
                 body = await reader.readexactly(int(headers.get("Content-Length", 0)))
+                if self.in_run is not None and path != "/health":
+                    await self.in_run(headers)
                 writer.write(self.answer(method, path, headers, body))
         except (asyncio.IncompleteReadError, ConnectionError):
             writer.close()
@@ -105,8 +109,10 @@
     return types.SimpleNamespace(config=config, listen=lambda _l: None, reread=None, run=run)
 
 
-def make_config(host, first, extra):
-    return (f"node-name=n-{host}\nzone=hall\nregion=here\nzones.hall=here\nip-address={host}\n"
+def make_config(host, first, extra, place=("hall", "here")):
+    zone, region = place
+    return (f"node-name=n-{host}\nzone={zone}\nregion={region}\nzones.hall=here\n"
+            f"zones.{zone}={region}\nip-address={host}\n"
             f"internal-port-range={first + 5},{first + 12}\nseed-mates={CORE}:{first + 1}\n"
             f"listen-addresses.control-plane={host}:{first + 1}\n{BOUNDS}{extra}")
 
@@ -125,7 +131,7 @@
 class Mesh:
     """One core machine and two sidecars with their targets."""
 
-    def __init__(self, folder, sites=("", "")):
+    def __init__(self, folder, sites=("", ""), places=(("hall", "here"), ("hall", "here"))):
         self.news = asyncio.Event()
         first = next(FIRST_PORTS)
         self.control, self.outbound, self.ready = first + 1, first + 2, first + 3
@@ -136,14 +142,16 @@
         site = f"site-name={sites[0]}\n" if sites[0] else ""
         self.door = Door("127.0.0.51", first + 4)
         self.registry = RegistryProgram(make_watch(
-            make_config(CORE, first, f"data-directory={folder}/registry\n{site}")))
+            make_config(CORE, first, f"data-directory={folder}/registry\n{site}"
+                        + "".join(f"zones.{zone}={region}\n" for zone, region in places))))
         agents = (f"{CORE}:{first + 6}", f"127.0.0.99:{first + 6}")
-        self.proxies = [ProxyProgram(make_watch(make_config(host, first, (
+        self.configs = [make_config(host, first, (
             f"listen-addresses.outbound={host}:{first + 2}\n"
             f"listen-addresses.readiness={host}:{first + 3}\n"
             f"app-address={host}:{first + 4}\nupstream=quotes\n"
-            + (f"site-name={site}\nsite-agent={agent}\n" if site else "")))))
-            for host, site, agent in zip(SIDES, sites, agents)]
+            + (f"site-name={site}\nsite-agent={agent}\n" if site else "")), place)
+            for host, site, agent, place in zip(SIDES, sites, agents, places)]
+        self.proxies = [ProxyProgram(make_watch(config)) for config in self.configs]
         for proxy in self.proxies:
             self.watch(proxy.view)
 
--- /dev/null
+++ b/tests/test_tracing.py
@@ -0,0 +1,219 @@
+"""Tracing: kept at every node that a request touched, or at none; bounded."""
+
+import time
+from types import SimpleNamespace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from marblefold.inner_protocol.messages import kinds
+from marblefold.tracing.collector import Collector
+from marblefold.tracing.context import (
+    Keep, TraceContext, format_traceparent, keep_of, parse_traceparent, shed_order)
+from marblefold.tracing.recorder import Recorder, RecorderConfig
+from marblefold.tracing.span import Span, SpanKind, pack_span
+from marblefold.tracing.tracer import Tracer, TraceSettings
+from tests.simulated_tracing import LOOKUP, ORDER, UPLOAD, TracedNetwork
+
+IDS = st.binary(min_size=16, max_size=16).filter(any)
+
+
+@given(IDS, st.binary(min_size=8, max_size=8).filter(any), st.booleans())
+def test_a_traceparent_is_read_as_it_is_written(trace_id, span_id, is_kept):
+    context = TraceContext(trace_id, span_id, Keep.ORDER if is_kept else Keep.NOT)
+    assert parse_traceparent(format_traceparent(context)) == (trace_id, span_id, is_kept)
+
+
+@pytest.mark.parametrize("text", (
+    "", "00", "00-" + "0" * 32 + "-" + "1" * 16 + "-01", "00-" + "1" * 32 + "-" + "0" * 16 + "-01",
+    "ff-" + "1" * 32 + "-" + "1" * 16 + "-01", "00-" + "1" * 32 + "-" + "1" * 16 + "-01-more",
+    "00-" + "G" * 32 + "-" + "1" * 16 + "-01", "00-" + "1" * 31 + "-" + "1" * 16 + "-01"))
+def test_a_traceparent_that_is_not_valid_is_ignored(text):
+    assert parse_traceparent(text) is None
+
+
+def test_a_later_version_may_say_more():
+    assert parse_traceparent("01-" + "1" * 32 + "-" + "2" * 16 + "-00-more") is not None
+
+
+@given(IDS, st.floats(0.0, 1.0), st.floats(0.0, 1.0))
+def test_the_share_of_lookups_kept_is_told_by_the_trace_id_alone(trace_id, low, high):
+    low, high = sorted((low, high))
+    assert keep_of(trace_id, Keep.SAMPLE, low) <= keep_of(trace_id, Keep.SAMPLE, high)
+    assert keep_of(trace_id, Keep.SAMPLE, 0.0) is Keep.NOT
+    assert keep_of(trace_id, Keep.SAMPLE, 1.0) is Keep.SAMPLE
+    assert keep_of(trace_id, Keep.ORDER, 0.0) is Keep.ORDER
+
+
+def make_span(trace_id, keep, number):
+    context = TraceContext(trace_id, bytes(8), keep)
+    return Span(context, number.to_bytes(8, "big"), SpanKind.HOP, "a", "u", float(number))
+
+
+@given(st.lists(st.tuples(st.integers(1, 12), st.sampled_from(list(Keep))), max_size=60))
+def test_a_recorder_holds_what_the_plain_model_holds(events):
+    """The model: every span in a list; the least of the shared order goes, whole."""
+    recorder, model, shed = Recorder(RecorderConfig(ring=8, outbox=10)), [], []
+    for number, (trace, keep) in enumerate(events):
+        span = make_span(bytes([trace]) * 16, keep, number)
+        recorder.begin(span)
+        recorder.finish(span, 1.0)
+        if keep is Keep.NOT or span.trace_id in shed:
+            continue
+        model.append(span)
+        while len(model) > 10:
+            least = min({held.trace_id for held in model}, key=lambda trace_id: shed_order(
+                max(held.keep for held in model if held.trace_id == trace_id), trace_id))
+            model = [held for held in model if held.trace_id != least]
+            shed.append(least)
+    batch = recorder.take_batch(10**6)
+    assert {span.span_id for span in batch.spans} == {span.span_id for span in model}
+    assert batch.shed == shed and recorder.waiting == 0
+    assert recorder.covered_seconds(3.0) in (0.0, 2.0)
+
+
+PATHS = st.lists(st.integers(0, 7), min_size=2, max_size=5, unique=True)
+CALLS = st.lists(st.tuples(
+    PATHS, st.sampled_from((ORDER, LOOKUP, UPLOAD)), st.sampled_from(("answered", "unknown", "refused")),
+    st.integers(1, 2), st.sampled_from(("", "restart", "dark", "registry", "lose", "export"))),
+    min_size=1, max_size=25)
+
+
+def run_calls(network, calls):
+    for number, (path, mapping, ends, tries, trouble) in enumerate(calls):
+        names = [f"n{index}" for index in path]
+        node = network.nodes[names[-1]]
+        node.is_dark = trouble == "dark"
+        network.dark_registries = {"registry-1"} if trouble == "registry" else set()
+        network.call(names, mapping, f"a{number}", b"body%d" % number, ends=ends, tries=tries)
+        network.deliver_marks(0.5 if trouble == "lose" else 0.0)
+        if trouble == "export":
+            network.export()
+        if trouble == "restart":
+            node.start()
+    for node in network.nodes.values():
+        node.is_dark = False
+    network.dark_registries = set()
+    network.export(rounds=40)
+
+
+@settings(max_examples=60, deadline=None)
+@given(CALLS, st.integers(0, 3))
+def test_a_trace_is_kept_at_every_node_it_touched_or_says_what_is_missing(calls, seed):
+    network = TracedNetwork(8, seed)
+    run_calls(network, calls)
+    network.check()
+
+
+@settings(max_examples=40, deadline=None)
+@given(CALLS)
+def test_with_full_outboxes_traces_go_whole(calls):
+    network = TracedNetwork(8, 2, RecorderConfig(ring=4, outbox=6), batch=3)
+    run_calls(network, [(*call[:4], "") for call in calls])
+    network.check()
+    assert all(node.recorder.waiting <= 6 for node in network.nodes.values())
+
+
+def test_without_trouble_every_order_is_whole_and_no_lookup_is_kept():
+    network = TracedNetwork(6)
+    for number in range(30):
+        network.call(["n0", "n1", "n2", "n3"], ORDER, f"o{number}", b"%d" % number)
+        network.call(["n4", "n1"], LOOKUP, f"l{number}")
+    network.export(rounds=20)
+    assert network.check() == 30
+    assert sum(node.recorder.lost for node in network.nodes.values()) == 0
+
+
+def test_the_check_fails_where_a_node_decides_for_itself():
+    network = TracedNetwork(6)
+    begin = network.nodes["n2"].tracer.begin_serve
+
+    def decide_for_itself(head):
+        head.trace_keep = 0
+        return begin(head)
+
+    network.nodes["n2"].tracer.begin_serve = decide_for_itself
+    network.call(["n0", "n1", "n2", "n3"], ORDER, "o")
+    network.export()
+    # Such a trace is not taken for a whole one: the check sees that it is short.
+    assert network.check() == 0
+    (trace_id,) = network.steps
+    trace, held = network.find(trace_id)
+    assert held and any("n2" in what for what in trace.missing)
+
+
+def test_a_lookup_that_goes_out_twice_is_kept_afterwards_at_all_nodes():
+    network = TracedNetwork(6)
+    span = network.call(["n0", "n1", "n2"], LOOKUP, "l", tries=2)
+    network.deliver_marks()
+    network.export()
+    trace, held = network.find(span.trace_id)
+    assert trace.is_whole and {node for node, _span in held} == {"n0", "n1", "n2"}
+
+
+def test_the_same_order_under_another_id_is_found_with_both_paths():
+    network = TracedNetwork(6)
+    first = network.call(["n0", "n1", "n2"], ORDER, "try-1", b"bracket", ends="unknown")
+    second = network.call(["n3", "n4", "n2"], ORDER, "try-2", b"bracket")
+    network.call(["n0", "n5"], ORDER, "other", b"seeder")
+    network.export()
+    # Origins differ, and so does what digests are made of.
+    assert not any(list(c.doubled()) for c in network.collectors.values())
+    again = network.call(["n0", "n5"], ORDER, "try-3", b"bracket")
+    network.deliver_marks()
+    network.export()
+    doubled = [found for collector in network.collectors.values() for found in collector.doubled()]
+    assert {frozenset(found.tries) for found in doubled} == {frozenset(("try-1", "try-3"))}
+    for span in (first, again, second):
+        assert network.find(span.trace_id)[0].is_whole
+
+
+def test_records_of_a_burst_stay_within_their_bounds():
+    network = TracedNetwork(2, config=RecorderConfig(ring=32, outbox=64),
+                            settings=TraceSettings(kept_per_second=5.0))
+    for number in range(500):
+        network.call(["n0", "n1"], UPLOAD, f"u{number}", b"%d" % number)
+    for node in network.nodes.values():
+        assert node.recorder.waiting <= 64 and len(node.recorder._ring) <= 32
+        assert not node.recorder._open
+    network.export(rounds=10)
+    # Five seconds' worth were begun as kept; of the rest there is nothing anywhere.
+    assert 20 <= network.check() <= 30
+
+
+def test_a_collector_stays_within_its_bound_and_lets_marked_traces_go_last():
+    collector = Collector(100)
+    for number in range(300):
+        keep = Keep.MARKED if number % 3 == 0 else Keep.ORDER
+        span = make_span(number.to_bytes(16, "big"), keep, number)
+        collector.take(kinds.SpanBatch(node="n", lost=2, spans=[pack_span(span, 0.0)]))
+        assert collector.spans <= 100
+    held = list(collector.newest())
+    marked = sum(1 for trace_id in held if int.from_bytes(trace_id, "big") % 3 == 0)
+    assert marked > len(held) / 2 and collector.dropped == 200 and collector.lost == {"n": 2}
+
+
+def test_what_a_digest_joins_and_what_it_does_not():
+    def digest(key=b"", **more):
+        tracer = Tracer(Recorder(), TraceSettings(digest_key=key), "n", 1)
+        told = {"caller": "shop", "mapping": "book", "path": "/x/1", "body": b"oak", **more}
+        return tracer._digest(*told.values())
+
+    assert digest() == digest() == digest(path="/x/2") and len(digest()) == 8
+    assert len({digest(), digest(b"key"), digest(body=b"elm"), digest(caller="yard"),
+                digest(mapping="send")}) == 5
+    assert digest(body=b"") != digest(body=b"", path="/x/2")
+
+
+def test_a_header_told_by_the_target_joins_its_call_to_the_run():
+    tracer = Tracer(Recorder(), TraceSettings(), "n", 1)
+    head = kinds.RequestHead(attempt_id="a", trace_id=b"t" * 16, parent_span=b"p" * 8,
+                             trace_keep=3, header_block=b"Host: h\r\nTraceparent: old\r\n")
+    serve = tracer.begin_serve(head)
+    assert head.header_block.startswith(b"Host: h\r\ntraceparent: 00-") and b"old" not in head.header_block
+    told = head.header_block.split(b"traceparent: ")[1].strip()
+    request = SimpleNamespace(headers=((b"Traceparent", told),), attempt_id="x",
+                              arrived=time.monotonic(), path="/")
+    span = tracer.begin_request(request, LOOKUP, "u", None, "c", b"", True)
+    assert span.parent == serve.span_id and span.keep is Keep.ORDER and not span.is_inferred
