Add a scale run; spread news of members and probe idle peers by how many there are

Cause: a piece of news was passed on six times, eight to a datagram, whatever the number of nodes. Idle connections between peers asked for a sign of life every second, which grows with nodes squared; now every 20 s, and whoever is suspected loses its idle connection, so that what is sent next is certain not to have been sent. Ruled out for members: a full table on joining (19 kB from each seed to each).

--- a/marblefold/inner_protocol/mate_book.py
+++ b/marblefold/inner_protocol/mate_book.py
@@ -16,8 +16,11 @@
 class MateBook:
     """The outgoing streams of a process."""
 
-    def __init__(self, owner: StreamOwner, connect_seconds: float = 0.5) -> None:
+    def __init__(
+        self, owner: StreamOwner, connect_seconds: float = 0.5, keep_alive: int = 1,
+    ) -> None:
         self._owner = owner
+        self._keep_alive = keep_alive
         self._connect_seconds = connect_seconds
         self._streams: dict[str, MateStream] = {}
         self._connecting: dict[str, asyncio.Task] = {}
@@ -53,6 +56,15 @@
         if stream is not None:
             stream.close()
 
+    def drop_idle(self, mate: str) -> None:
+        """The mate is thought lost: what is sent next must not go into the dark.
+
+        A fresh connection that does not come up is certain: nothing was sent.
+        """
+        stream = self._streams.get(mate)
+        if stream is not None and stream.is_idle:
+            self.drop(mate)
+
     def close(self) -> None:
         """Ends all streams."""
         for mate in list(self._streams):
@@ -70,7 +82,7 @@
         try:
             async with asyncio.timeout(self._connect_seconds):
                 _transport, stream = await loop.create_connection(
-                    lambda: MateStream(self._owner, mate), address.host, address.port
+                    lambda: MateStream(self._owner, mate, self._keep_alive), address.host, address.port
                 )
         except (OSError, TimeoutError) as error:
             self._shunned_until[mate] = time.monotonic() + _SHUN_SECONDS
--- a/marblefold/inner_protocol/mate_stream.py
+++ b/marblefold/inner_protocol/mate_stream.py
@@ -10,10 +10,15 @@
 from marblefold.inner_protocol.exchange import Exchange, take_frame
 from marblefold.inner_protocol.frames import Frame, FrameKind, FrameReader, pack_frame
 
-__all__ = ["MateStream", "StreamOwner"]
+__all__ = ["MateStream", "PEER_KEEP_ALIVE", "StreamOwner"]
 
 # A cut says nothing: bytes not acknowledged for so long end the stream.
 _UNHEARD_MILLISECONDS = 2000
+# Where many peers are connected, idle connections are asked for a sign of life
+# rarely: every node has one to every other, so what they say grows with all of
+# them.  Hops in flight are looked after by pings, and probes of members tell
+# which peers are lost.
+PEER_KEEP_ALIVE = 20
 
 
 class StreamOwner(Protocol):
@@ -31,8 +36,9 @@
 class MateStream(asyncio.Protocol):
     """Carries many exchanges at once; knows nothing of what they are about."""
 
-    def __init__(self, owner: StreamOwner, mate: str = "") -> None:
+    def __init__(self, owner: StreamOwner, mate: str = "", keep_alive: int = 1) -> None:
         self.mate = mate
+        self._keep_alive = keep_alive
         self.is_open = False
         self.heard_at = time.monotonic()
         self._pinged_at: float | None = None
@@ -50,7 +56,7 @@
         handle = transport.get_extra_info("socket")
         handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNHEARD_MILLISECONDS)
         handle.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1)
+        handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, self._keep_alive)
         handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
         handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
 
@@ -93,6 +99,11 @@
         if self.is_open:
             self._transport.write(pack_frame(kind, number, payload))
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing is under way on it."""
+        return not self._exchanges and not self._calls
+
     def open_exchange(self) -> Exchange:
         """Begins a hop toward the mate."""
         self._next_number += 1
--- a/marblefold/membership/datagrams.py
+++ b/marblefold/membership/datagrams.py
@@ -11,7 +11,7 @@
 
 __all__ = ["MembershipSocket"]
 
-_TICK_SECONDS = 0.1
+_TICK_SECONDS = 0.02
 
 
 def _pack(message: Message) -> bytes:
@@ -53,8 +53,10 @@
     async def run(self) -> None:
         """Lets the prober act, for ever."""
         while True:
-            self._send(self._prober.tick(time.monotonic()))
-            await asyncio.sleep(_TICK_SECONDS)
+            now = time.monotonic()
+            self._send(self._prober.tick(now))
+            # A node wakes for what is due, and not to look whether anything is.
+            await asyncio.sleep(max(_TICK_SECONDS, self._prober.next_due(now) - now))
 
     def connection_made(self, transport) -> None:
         self._transport = transport
--- a/marblefold/membership/members.py
+++ b/marblefold/membership/members.py
@@ -1,12 +1,16 @@
 """What one node thinks of the others, and what it still has to pass on."""
 
 import enum
+import heapq
+import math
 from typing import Callable, NamedTuple
 
 __all__ = ["Liveness", "Member", "MemberTable"]
 
-# How often a piece of news is passed on by one node.
+# How often a piece of news is passed on by one node, at the least; with many
+# nodes it takes this for each doubling to reach them all.
 _PASSED_ON = 6
+_PASSED_ON_EACH_DOUBLING = 2
 
 
 class Liveness(enum.IntEnum):
@@ -50,6 +54,11 @@
     def __len__(self) -> int:
         return len(self._members)
 
+    @property
+    def doublings(self) -> float:
+        """What the spreading of news grows with."""
+        return math.log2(len(self._members) + 2)
+
     def find(self, address: str) -> Member | None:
         """The member at the address."""
         return self._members.get(address)
@@ -83,13 +92,14 @@
 
     def pick_news(self, most: int) -> list[Member]:
         """The news passed on least often so far."""
-        addresses = sorted(self._news, key=self._news.get)[:most]
+        addresses = heapq.nsmallest(most, self._news, key=self._news.get)
+        passed_on = max(_PASSED_ON, math.ceil(_PASSED_ON_EACH_DOUBLING * self.doublings))
         picked = []
         for address in addresses:
             member = self.own if address == self.own.address else self._members[address]
             picked.append(member)
             self._news[address] += 1
-            if self._news[address] >= _PASSED_ON:
+            if self._news[address] >= passed_on:
                 del self._news[address]
         return picked
 
--- a/marblefold/membership/prober.py
+++ b/marblefold/membership/prober.py
@@ -21,7 +21,13 @@
     helpers: int = 3
     gone_probe: float = 1.0
     forget: float = 60.0
+    # In a datagram; more where there are more nodes to tell of, up to what one
+    # datagram can carry without being cut in pieces.
     news: int = 8
+    most_news: int = 13
+    # Suspicion lasts for its time at so many doublings of the nodes, and longer
+    # beyond, for a refutation takes longer to come round.
+    usual_doublings: float = 5.0
 
 
 class Message(NamedTuple):
@@ -85,6 +91,15 @@
             out.extend(self._probe_gone(now))
         return out
 
+    def next_due(self, now: float) -> float:
+        """When there is something to do again, if nothing comes."""
+        config = self._config
+        due = min(self._next_probe, self._next_gone_probe)
+        for pending in self._pending.values():
+            waits = config.direct + (config.indirect if pending.is_indirect else 0.0)
+            due = min(due, pending.sent + waits)
+        return due
+
     def receive(self, message: Message, now: float) -> list[Message]:
         """Takes in a datagram; the answers to it."""
         for member in message.members:
@@ -175,12 +190,18 @@
         ]
 
     def _end_suspicions(self, now: float) -> None:
+        config = self._config
+        suspicion = config.suspicion * max(1.0, self.table.doublings / config.usual_doublings)
         for member in list(self.table):
             if member.liveness is not Liveness.SUSPECT:
                 continue
-            if now - self.table.since[member.address] >= self._config.suspicion:
+            if now - self.table.since[member.address] >= suspicion:
                 self.table.judge(member, Liveness.GONE, now)
 
+    def _count_news(self) -> int:
+        config = self._config
+        return min(config.most_news, max(config.news, int(1.7 * self.table.doublings)))
+
     def _ping(self, address: str) -> Message:
         self._number += 1
         return self._make(address, "ping", self._number, "")
@@ -192,6 +213,6 @@
         if known is not None and known.liveness is not Liveness.ALIVE:
             members.append(known)
         members.extend(
-            member for member in self.table.pick_news(self._config.news)
+            member for member in self.table.pick_news(self._count_news())
             if member.address != self.table.own.address)
         return Message(mate, kind, number, subject, tuple(members))
--- a/marblefold/proxy/program.py
+++ b/marblefold/proxy/program.py
@@ -11,7 +11,7 @@
 from marblefold.http_streams.downstream_server import DownstreamServer
 from marblefold.inner_protocol.mate_book import MateBook
 from marblefold.inner_protocol.exchange import Exchange
-from marblefold.inner_protocol.mate_stream import MateStream
+from marblefold.inner_protocol.mate_stream import PEER_KEEP_ALIVE, MateStream
 from marblefold.inner_protocol.messages import kinds, unpack_message
 from marblefold.inner_protocol.ports import PROXY, REGISTRY, inner_address
 from marblefold.logs import log
@@ -65,7 +65,7 @@
         self._membership = NodeMembership(watch, "proxy", PROXY, self._on_member)
         nominator = Nominator(self.view, config.zone)
         self.surroundings = Surroundings(self.view, nominator, config.bounds, config.limits)
-        self._mates = MateBook(self)
+        self._mates = MateBook(self, keep_alive=PEER_KEEP_ALIVE)
         self._hops = HopSender(
             self._mates, lambda mate: nominator.note_silent(mate, time.monotonic()),
             config.limits.link_mbps * 125_000)
@@ -103,7 +103,8 @@
         listen = self._config.listen
         inner = inner_address(self._config.host, self._config, PROXY)
         host, _sign, port = inner.rpartition(":")
-        await loop.create_server(lambda: MateStream(self), host, int(port), backlog=512)
+        await loop.create_server(
+            lambda: MateStream(self, keep_alive=PEER_KEEP_ALIVE), host, int(port), backlog=512)
         await self._control.start(listen["control-plane"])
         await self._readiness_server.start(listen["readiness"])
         await self.outbound.start(listen["outbound"])
@@ -197,6 +198,7 @@
             self.view.suspects.discard(member.node)
         else:
             self.view.suspects.add(member.node)
+            self._mates.drop_idle(member.address)
 
     def _on_target_change(self) -> None:
         self.follower.tell()
--- /dev/null
+++ b/tests/test_peer_connections.py
@@ -0,0 +1,62 @@
+"""Connections between peers: what idle ones cost, and what a lost peer leaves."""
+
+import asyncio
+import socket
+from types import SimpleNamespace
+
+from marblefold.inner_protocol.mate_book import MateBook
+from marblefold.inner_protocol.mate_stream import PEER_KEEP_ALIVE, MateStream
+from marblefold.membership.members import Liveness, Member
+from marblefold.membership.prober import Prober, ProberConfig
+
+
+class Owner(SimpleNamespace):
+    """Takes what comes and counts the connections that were lost."""
+
+    def __init__(self):
+        super().__init__(lost=0, hops=[])
+
+    def on_hop(self, exchange, payload):
+        self.hops.append((exchange, payload))
+
+    def on_lost(self, stream):
+        self.lost += 1
+
+
+def test_a_lost_peer_leaves_no_idle_connection_to_send_into():
+    async def test():
+        loop, far, near = asyncio.get_running_loop(), Owner(), Owner()
+        server = await loop.create_server(lambda: MateStream(far), "127.0.0.1", 0)
+        mate = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+        book = MateBook(near, keep_alive=PEER_KEEP_ALIVE)
+        stream = await book.reach(mate)
+        handle = stream._transport.get_extra_info("socket")
+        assert handle.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE) == PEER_KEEP_ALIVE
+        exchange = stream.open_exchange()
+        book.drop_idle(mate)
+        # A hop under way is not cut off by a suspicion.
+        assert book.find(mate) is stream
+        exchange.close()
+        book.drop_idle(mate)
+        assert book.find(mate) is None
+        assert await book.reach(mate) is not stream
+        book.close()
+        server.close()
+    asyncio.run(test())
+
+
+def test_a_prober_says_when_it_has_something_to_do():
+    config = ProberConfig()
+    prober = Prober(
+        Member("a", "a", "proxy", "hall", 1, 0, Liveness.ALIVE), list, config=config, seed=1)
+    prober.table.take(Member("b", "b", "proxy", "hall", 1, 0, Liveness.ALIVE), 0.0)
+    now = 10.0
+    for _ in range(12):
+        prober.tick(now)
+        due = prober.next_due(now)
+        assert now <= due <= now + config.period
+        # Before what is due there is nothing to send.
+        assert prober.tick(max(now, due - 0.01)) == []
+        now = due + 0.001
+    # The silent one was probed, asked for again, and suspected.
+    assert prober.table.find("b").liveness is not Liveness.ALIVE
--- /dev/null
+++ b/tools/scale/__main__.py
@@ -0,0 +1,92 @@
+"""python3 -m tools.scale: how control grows with nodes, real programs beside hollow ones."""
+
+import asyncio
+import json
+import subprocess
+import sys
+import tempfile
+from datetime import datetime, timezone
+from pathlib import Path
+
+from absl import flags
+
+from tools.scale.phases import Phases
+from tools.scale.processes import Fleet
+from tools.scale.settings import Layout
+
+__all__ = ["main"]
+
+FLAGS = flags.FLAGS
+flags.DEFINE_integer("nodes", 50, "Nodes beside targets.", lower_bound=8, upper_bound=600)
+flags.DEFINE_integer("core", 5, "Machines set aside for control.", lower_bound=1, upper_bound=9)
+flags.DEFINE_integer("real", 3, "Nodes that are real proxies.", lower_bound=0, upper_bound=20)
+flags.DEFINE_integer("services", 22, "Services.", lower_bound=1, upper_bound=100)
+flags.DEFINE_integer("mappings", 300, "Mappings of the spec.", lower_bound=1, upper_bound=5000)
+flags.DEFINE_integer("each", 60, "Hollow nodes to a process.", lower_bound=1, upper_bound=200)
+flags.DEFINE_integer("runs", 1, "How often all of it is done.", lower_bound=1, upper_bound=10)
+flags.DEFINE_float("seconds", 10.0, "How long rest is measured.", lower_bound=1, upper_bound=120)
+flags.DEFINE_float("longest", 60.0, "How long one phase may take.", lower_bound=5, upper_bound=300)
+flags.DEFINE_integer("first_port", 24000, "The first port.", lower_bound=1024, upper_bound=60000)
+flags.DEFINE_multi_enum(
+    "phase", ["rest", "change", "churn", "registry", "cut"],
+    ["rest", "change", "churn", "registry", "cut"], "What is measured after the start.")
+flags.DEFINE_string("out", "", "File for the results; standard output without it.")
+
+_WHOLE, _PARTIAL, _USAGE = 0, 1, 2
+# A day's restarts, failures and changes of the target, one after the other.
+_RESTARTS, _CHANGES = 45, 5
+
+
+def main(arguments: list[str]) -> int:
+    """Runs it as the flags say; the exit status."""
+    try:
+        rest = FLAGS(arguments)
+    except flags.Error as error:
+        print(error, file=sys.stderr)
+        return _USAGE
+    if rest[1:] or FLAGS.real >= FLAGS.nodes:
+        print("usage: python3 -m tools.scale --nodes=N [--real=K] [--runs=R] [--out=FILE]; "
+              "fewer real nodes than nodes", file=sys.stderr)
+        return _USAGE
+    document = {
+        "command": arguments[1:], "commit": _ask_git("rev-parse", "HEAD"),
+        "dirty": bool(_ask_git("status", "--porcelain", "marblefold", "tools")),
+        "at": datetime.now(timezone.utc).isoformat(), "nodes": FLAGS.nodes, "runs": []}
+    for number in range(FLAGS.runs):
+        document["runs"].append(asyncio.run(_run(FLAGS.first_port + 20 * number)))
+    document["partial"] = any("partial" in run for run in document["runs"])
+    text = json.dumps(document, indent=1) + "\n"
+    if FLAGS.out:
+        Path(FLAGS.out).write_text(text)
+    else:
+        print(text, end="")
+    return _PARTIAL if document["partial"] else _WHOLE
+
+
+async def _run(first_port: int) -> dict:
+    layout = Layout(FLAGS.nodes, FLAGS.core, FLAGS.services, first_port)
+    found: dict = {}
+    with tempfile.TemporaryDirectory(prefix="scale-") as folder:
+        async with Fleet(layout, Path(folder), FLAGS.each) as fleet:
+            phases = Phases(fleet, FLAGS.mappings, FLAGS.seconds, FLAGS.longest)
+            acts = {"rest": phases.rest, "change": phases.change,
+                    "churn": lambda: phases.churn(_RESTARTS, _CHANGES),
+                    "registry": phases.lose_registry, "cut": phases.cut}
+            name = "start"
+            try:
+                found["start"] = await phases.start(FLAGS.real)
+                for name in FLAGS.phase:
+                    found[name] = await acts[name]()
+            except (TimeoutError, RuntimeError, OSError) as error:
+                # What was measured so far stands; the rest was not reached.
+                found["partial"] = f"{name}: {error or 'not done in time'}"
+    return found
+
+
+def _ask_git(*words: str) -> str:
+    done = subprocess.run(["git", *words], capture_output=True, text=True, check=False)
+    return done.stdout.strip()
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv))
--- /dev/null
+++ b/tools/scale/hollow.py
@@ -0,0 +1,196 @@
+"""Hollow nodes: what a proxy does for control, many to a process.
+
+Each speaks the real inner protocol through the real follower, membership and
+notices; it has no target and takes no traffic.  Commands come as JSON lines
+on standard input, answers go to standard output.
+"""
+
+import asyncio
+import json
+import sys
+import time
+from datetime import timedelta
+from types import SimpleNamespace
+
+from marblefold.inner_protocol.mate_stream import MateStream
+from marblefold.inner_protocol.ports import PROXY, REGISTRY, inner_address
+from marblefold.membership.datagrams import MembershipSocket
+from marblefold.membership.members import Liveness
+from marblefold.membership.node import NodeMembership
+from marblefold.node_config.reading import parse_config
+from marblefold.proxy.notices import NoticeMaker
+from marblefold.proxy.registry_follower import RegistryFollower
+from marblefold.request_path.local_target import Beat, LocalTarget
+from marblefold.request_path.mesh_view import MeshView
+from tools.scale.settings import Layout, make_config
+
+__all__ = ["main"]
+
+
+class Counts:
+    """Messages and bytes of this process, by the way they took."""
+
+    def __init__(self) -> None:
+        self.stream_messages = self.stream_bytes = 0
+        self.datagrams = self.datagram_bytes = 0
+
+    def instrument(self) -> None:
+        """Counts what the real classes send and take; only in this process."""
+        take, send = MateStream.data_received, MateStream.send
+        receive, send_all = MembershipSocket.datagram_received, MembershipSocket._send
+
+        def count_taken(stream, data):
+            self.stream_messages += 1
+            self.stream_bytes += len(data)
+            take(stream, data)
+
+        def count_sent(stream, kind, number, payload=b""):
+            self.stream_messages += 1
+            self.stream_bytes += len(payload) + 9
+            send(stream, kind, number, payload)
+
+        def count_received(membership, data, address):
+            self.datagrams += 1
+            self.datagram_bytes += len(data)
+            if not _is_cut(membership, address[0]):
+                receive(membership, data, address)
+
+        def count_out(membership, messages):
+            kept = [message for message in messages if not _is_cut(
+                membership, message.mate.rpartition(":")[0])]
+            self.datagrams += len(kept)
+            send_all(membership, kept)
+
+        MateStream.data_received, MateStream.send = count_taken, count_sent
+        MembershipSocket.datagram_received, MembershipSocket._send = count_received, count_out
+
+
+# Hosts that a node cannot reach just now, by the node's own address.
+_cuts: dict[str, set[str]] = {}
+
+
+def _is_cut(membership: MembershipSocket, host: str) -> bool:
+    own = membership._prober.table.own.address.rpartition(":")[0]
+    return host in _cuts.get(own, ())
+
+
+class HollowNode:
+    """The control side of one proxy."""
+
+    def __init__(self, layout: Layout, number: int) -> None:
+        self.number = number
+        host = layout.node_host(number)
+        config = parse_config(make_config(layout, host, f"node-{number}", number))
+        watch = SimpleNamespace(config=config)
+        self.host = host
+        self.view = MeshView(config.node_name)
+        self.target = LocalTarget(lambda: None)
+        self.target.take_beat(Beat(
+            f"i-{number}-{time.time_ns()}", config.upstream, "", config.zone, 4, False,
+            timedelta(), 1))
+        self.target._on_change = lambda: None
+        seeds = [inner_address(seed.host, config, REGISTRY) for seed in config.seeds]
+        self.follower = RegistryFollower(
+            config.node_name, lambda: seeds, self.view, NoticeMaker(config, self.target).make)
+        self.view.on_own_notice = lambda life: None
+        self.suspected_at: dict[str, float] = {}
+        self.membership = NodeMembership(watch, "proxy", PROXY, self._on_member)
+        self.tasks: list[asyncio.Task] = []
+
+    async def start(self) -> None:
+        await self.membership.start()
+        loop = asyncio.get_running_loop()
+        self.tasks = [loop.create_task(run) for run in (
+            self.membership.run(), self.follower.run())]
+
+    async def stop(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.follower._mates.close()
+        self.membership._socket._transport.close()
+
+    def _on_member(self, member) -> None:
+        if member.liveness is Liveness.ALIVE:
+            self.suspected_at.pop(member.address, None)
+        else:
+            self.suspected_at.setdefault(member.address, time.time())
+
+    def describe(self) -> dict:
+        """What it knows, for the measurement."""
+        members = list(self.membership._prober.table)
+        return {
+            "number": self.number,
+            "spec": self.view.table.number if self.view.table else 0,
+            "targets": sum(len(of) for of in self.view._targets.values()),
+            "alive": sum(1 for member in members if member.liveness is Liveness.ALIVE),
+            "in-touch": self.follower.is_in_touch, "suspected": len(self.suspected_at)}
+
+
+class HollowHost:
+    """Many nodes in this process, and the commands that come for them."""
+
+    def __init__(self, layout: Layout, numbers: range) -> None:
+        self._layout = layout
+        self.nodes = {number: HollowNode(layout, number) for number in numbers}
+        self.counts = Counts()
+        self._spec_seen: dict[int, float] = {}
+
+    async def run(self) -> None:
+        self.counts.instrument()
+        for node in self.nodes.values():
+            await node.start()
+            self._watch(node)
+            # Machines do not all start in one moment.
+            await asyncio.sleep(0.02)
+        reader = asyncio.StreamReader()
+        loop = asyncio.get_running_loop()
+        await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
+        # When the tool ends, its hollow processes see the end of their input.
+        while line := await reader.readline():
+            answer = await self._obey(json.loads(line))
+            print(json.dumps(answer), flush=True)
+
+    def _watch(self, node: HollowNode) -> None:
+        node.view.on_spec = lambda table: self._spec_seen.__setitem__(
+            node.number, (table.number, time.time()))
+
+    async def _obey(self, command: dict) -> dict:
+        if command["do"] == "restart":
+            number = command["node"]
+            await self.nodes[number].stop()
+            await asyncio.sleep(command.get("down", 0.0))
+            self.nodes[number] = HollowNode(self._layout, number)
+            self._watch(self.nodes[number])
+            await self.nodes[number].start()
+        elif command["do"] == "cut":
+            hosts = set(command["hosts"])
+            for node in self.nodes.values():
+                _cuts[node.host] = hosts if command["on"] else set()
+                for mate in list(node.follower._mates._streams):
+                    if command["on"] and mate.rpartition(":")[0] in hosts:
+                        node.follower._mates.drop(mate)
+                node.follower._mates._shunned_until = {
+                    mate: time.monotonic() + 3600 for mate in node.view.registries
+                    if command["on"] and mate.rpartition(":")[0] in hosts}
+        return {
+            "nodes": [node.describe() for node in self.nodes.values()],
+            "spec-seen": {str(node): seen for node, seen in self._spec_seen.items()},
+            "counts": vars(self.counts), "cpu": time.process_time()}
+
+
+def main(words: list[str]) -> None:
+    """hollow NODES CORE SERVICES FIRST_PORT FROM TO."""
+    nodes, core, services, port, first, last = (int(word) for word in words)
+    layout = Layout(nodes, core, services, port)
+    from marblefold.logs import start_logs
+    import logging
+    import structlog
+
+    start_logs("hollow")
+    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.ERROR))
+    asyncio.run(HollowHost(layout, range(first, last)).run())
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
--- /dev/null
+++ b/tools/scale/settings.py
@@ -0,0 +1,89 @@
+"""What every process of a scale run is told: config files and a spec."""
+
+from typing import NamedTuple
+
+__all__ = ["Layout", "make_config", "make_spec"]
+
+ZONES = ("r1-a", "r1-b", "r1-c", "r2-a", "r2-b")
+_BOUNDS = """
+bounds.contact-window-ms=4000
+bounds.ack-timeout-ms=4000
+bounds.catch-up-s=6
+bounds.drain-timeout-ms=2500
+bounds.grace-period-s=10
+bounds.loss-slack-ms=200
+bounds.spec-apply-ms=2500
+bounds.retry-budget-ratio=0.2
+bounds.retry-window-s=10
+bounds.retry-budget-slack=430
+bounds.cold-overage=1.5
+bounds.cold-slack=10
+bounds.evacuation-ms=5000
+limits.memory-mb=200
+limits.max-file-descriptors=4100
+beat-wakeup-ms=500
+fault-tolerance.machine-losses={losses}
+"""
+
+
+class Layout(NamedTuple):
+    """Where the processes of one run listen, all of it on loopback."""
+
+    nodes: int
+    core: int
+    services: int
+    first_port: int
+
+    def core_host(self, number: int) -> str:
+        """The address of a core machine."""
+        return f"127.2.0.{number + 1}"
+
+    def node_host(self, number: int) -> str:
+        """The address of a node beside a target."""
+        return f"127.3.{number // 250}.{number % 250 + 1}"
+
+    def service(self, number: int) -> str:
+        """The service of a node's target."""
+        return f"service-{number % self.services}"
+
+
+def make_config(
+    layout: Layout, host: str, name: str, number: int, folder: str = "", is_first: bool = True,
+) -> str:
+    """The config file of one process."""
+    seeds = ",".join(
+        f"{layout.core_host(core)}:{layout.first_port}" for core in range(min(3, layout.core)))
+    lines = [
+        f"node-name={name}", f"zone={ZONES[number % len(ZONES)]}",
+        f"region={ZONES[number % len(ZONES)][:2]}",
+        *(f"zones.{zone}={zone[:2]}" for zone in ZONES),
+        f"ip-address={host}", f"seed-mates={seeds}", f"initial-start={str(is_first).lower()}",
+        f"internal-port-range={layout.first_port + 1},{layout.first_port + 8}",
+        f"listen-addresses.control-plane={host}:{layout.first_port}",
+        f"listen-addresses.outbound={host}:{layout.first_port + 10}",
+        f"listen-addresses.readiness={host}:{layout.first_port + 11}",
+    ]
+    if folder:
+        lines.append(f"data-directory={folder}")
+    else:
+        lines.append(f"upstream={layout.service(number)}")
+        lines.append(f"app-address={host}:{layout.first_port + 12}")
+    losses = max(1, (layout.core - 1) // 2)
+    return "\n".join(lines) + _BOUNDS.format(losses=losses)
+
+
+def make_spec(layout: Layout, number: int, mappings: int) -> dict:
+    """A spec with so many mappings, cut evenly over the services."""
+    return {
+        "spec-number": number,
+        "mapping-list": [
+            {"name": f"mapping-{index}", "host-name": f"host{index % 40}.example",
+             "path-prefix": f"/p{index}/", "mapping-kind": ("read_only", "mutating")[index % 2],
+             "time-limit-ms": 4000, "target-latency-ms": 800 + number % 7, "attempt-limit": 2,
+             "priority": index % 3, "upstream": layout.service(index)}
+            for index in range(mappings)],
+        "upstream-list": [
+            {"name": layout.service(index), "health-check-path": "/health", "stream-limit": 1200}
+            for index in range(layout.services)],
+        "limits": {},
+    }
