--- a/marblefold/gateway/partner_hops.py
+++ b/marblefold/gateway/partner_hops.py
@@ -34,29 +34,29 @@
         return not partner_of(upstream) and self._usual.has_guard(upstream)
 
     async def send(
-        self, mate: str, head, request: DownstreamRequest, body_bound: int, seconds: float,
+        self, peer: str, head, request: DownstreamRequest, body_bound: int, seconds: float,
     ) -> HopResult:
         """The hop's end; it raises only BodyTooLarge and a lost downstream."""
         partner = partner_of(head.upstream)
         if not partner:
-            return await self._usual.send(mate, head, request, body_bound, seconds)
+            return await self._usual.send(peer, head, request, body_bound, seconds)
         # A partner knows nothing of our instances.
         head.expected_instance = ""
 
         def may_send() -> bool:
-            return self.may_leave(partner, mate, request, time.monotonic())
+            return self.may_leave(partner, peer, request, time.monotonic())
 
         return await self._to_partners.send(
-            mate, head, request, body_bound, seconds, may_send)
+            peer, head, request, body_bound, seconds, may_send)
 
     def may_leave(
-        self, partner: str, mate: str, request: DownstreamRequest, now: float,
+        self, partner: str, peer: str, request: DownstreamRequest, now: float,
     ) -> bool:
         """Whether the partner's word allows the request at this moment."""
         mapping = self._view.find_partner_mapping(request.host, request.path, now)
         if mapping is None or partner_of(mapping.upstreams[0]) != partner:
             return False
-        return self._view.partners.addresses.get(partner) == mate
+        return self._view.partners.addresses.get(partner) == peer
 
 
 def open_partner_way(usual: Hops, view: MeshView, tasks: TaskKeeper) -> PartnerHops:
--- a/marblefold/gateway/program.py
+++ b/marblefold/gateway/program.py
@@ -107,7 +107,7 @@
 
     @property
     def hops_in_progress(self) -> int:
-        """A gateway takes no hops of mates."""
+        """A gateway takes no hops of peers."""
         return 0
 
     @property
@@ -118,7 +118,7 @@
     async def _readiness(self, _call: Call) -> Answer:
         # Ready means: a downstream that comes now can be served as it should.
         # Pressure has no say: a full gateway refuses, it does not flap.
-        is_ready = not self.is_leaving and self.view.table is not None and self.view.mates()
+        is_ready = not self.is_leaving and self.view.table is not None and self.view.peers()
         return json_answer(200 if is_ready else 503, {"ready": bool(is_ready)})
 
     def _seed_registries(self) -> list[str]:
@@ -127,7 +127,7 @@
 
     def _addresses(self) -> set[str]:
         partners = self.view.partners
-        return self.view.mates() | set(partners.addresses.values() if partners else ())
+        return self.view.peers() | set(partners.addresses.values() if partners else ())
 
     def _on_spec(self, table: MappingTable) -> None:
         self.outbound.set_limits(table.limits)
--- a/marblefold/gateway/target_hops.py
+++ b/marblefold/gateway/target_hops.py
@@ -1,7 +1,7 @@
-"""Ends a hop at a target itself, where a proxy ends it at a mate's guard.
+"""Ends a hop at a target itself, where a proxy ends it at a peer's guard.
 
 The same caller as beside the guard talks to the target; here its exchange is
-no stream to a mate but the two ends below.
+no stream to a peer but the two ends below.
 """
 
 import asyncio
@@ -75,11 +75,11 @@
         return False
 
     async def send(
-        self, mate: str, head, request: DownstreamRequest, body_bound: int, seconds: float,
+        self, peer: str, head, request: DownstreamRequest, body_bound: int, seconds: float,
         may_send: Callable[[], bool] | None = None,
     ) -> HopResult:
         """The hop's end; it raises only BodyTooLarge and a lost downstream."""
-        caller = self._pool.caller(mate)
+        caller = self._pool.caller(peer)
         if caller is None:
             # Nothing was sent: certain.
             return HopResult(HopOutcome.NEVER_OFFERED, step="no descriptor", retry_after=0.1)
--- a/marblefold/http_streams/call_router.py
+++ b/marblefold/http_streams/call_router.py
@@ -40,7 +40,7 @@
 
 def not_now_answer(breakdown: Breakdown) -> Answer:
     """No majority answered in time: the word may or may not come to hold."""
-    log.warning("no clear word", step=breakdown.step, mate=breakdown.mate, reason=breakdown.reason)
+    log.warning("no clear word", step=breakdown.step, peer=breakdown.peer, reason=breakdown.reason)
     return json_answer(503, {wire_names.REASON: str(breakdown)}, _RETRY_SECONDS)
 
 
--- a/marblefold/inner_protocol/body_pipe.py
+++ b/marblefold/inner_protocol/body_pipe.py
@@ -1,6 +1,6 @@
 """A body on its way over a shared stream, bounded by credit.
 
-Streams between mates carry many exchanges, so a slow reader of one body must
+Streams between peers carry many exchanges, so a slow reader of one body must
 not stop the others: its sender may only send what the reader granted.
 """
 
--- a/marblefold/inner_protocol/exchange.py
+++ b/marblefold/inner_protocol/exchange.py
@@ -1,4 +1,4 @@
-"""One hop on a stream between mates, as either end holds it."""
+"""One hop on a stream between peers, as either end holds it."""
 
 import asyncio
 import struct
@@ -9,7 +9,7 @@
 from marblefold.inner_protocol.frames import FrameKind
 
 if TYPE_CHECKING:
-    from marblefold.inner_protocol.mate_stream import MateStream
+    from marblefold.inner_protocol.peer_connection import PeerConnection
 
 __all__ = ["Exchange", "take_frame"]
 
@@ -20,7 +20,7 @@
 class Exchange:
     """One hop on a stream, at either end."""
 
-    def __init__(self, stream: "MateStream", number: int, credit: int) -> None:
+    def __init__(self, stream: "PeerConnection", number: int, credit: int) -> None:
         self.stream = stream
         self.number = number
         self.answer: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
@@ -29,11 +29,11 @@
         self._credit = credit
         self._credit_waiter: asyncio.Future | None = None
         self.broken: Breakdown | None = None
-        # Whether the request may go elsewhere while this mate is silent.
+        # Whether the request may go elsewhere while this peer is silent.
         self.is_repeatable = False
 
     def break_off(self, breakdown: Breakdown) -> None:
-        """The stream below this exchange is gone, or its mate reset it."""
+        """The stream below this exchange is gone, or its peer reset it."""
         self.broken = breakdown
         if not self.answer.done():
             self.answer.set_exception(breakdown)
@@ -45,12 +45,12 @@
             self.on_cancel()
 
     def take_credit(self, size: int) -> None:
-        """The mate lets us send more of the body."""
+        """The peer lets us send more of the body."""
         self._credit += size
         self._wake_sender()
 
     async def send_body(self, chunk: bytes) -> None:
-        """Sends a part of the body, within the mate's credit."""
+        """Sends a part of the body, within the peer's credit."""
         for place in range(0, len(chunk), _CHUNK):
             part = chunk[place:place + _CHUNK]
             while self._credit <= 0 and self.broken is None:
@@ -71,7 +71,7 @@
         self.stream.forget(self.number)
 
     def grant(self, size: int) -> None:
-        """Lets the mate send more of the body."""
+        """Lets the peer send more of the body."""
         self.stream.send(FrameKind.CREDIT, self.number, _CREDIT.pack(size))
 
     def _wake_sender(self) -> None:
@@ -91,6 +91,6 @@
     elif kind == FrameKind.CREDIT:
         exchange.take_credit(_CREDIT.unpack(payload)[0])
     elif kind == FrameKind.RESET:
-        exchange.break_off(Breakdown("answer", "reset by mate", exchange.stream.mate))
+        exchange.break_off(Breakdown("answer", "reset by peer", exchange.stream.peer))
     elif kind == FrameKind.CANCEL and exchange.on_cancel is not None:
         exchange.on_cancel()
--- a/marblefold/inner_protocol/frames.py
+++ b/marblefold/inner_protocol/frames.py
@@ -1,4 +1,4 @@
-"""How messages are cut into frames on a stream between two mates.
+"""How messages are cut into frames on a stream between two peers.
 
 A frame is a length, a kind, the number of the exchange it belongs to, and
 its payload: a protobuf message, or raw bytes of a body.
@@ -58,7 +58,7 @@
         try:
             while len(buffer) - place >= _HEAD.size:
                 length, kind, number = _HEAD.unpack_from(buffer, place)
-                # No mate of ours sends such a frame: the stream is garbled.
+                # No peer of ours sends such a frame: the stream is garbled.
                 if length > LARGEST_PAYLOAD:
                     raise ValueError(f"a frame of {length} bytes")
                 end = place + _HEAD.size + length
--- a/marblefold/inner_protocol/mate_stream.py
+++ b/marblefold/inner_protocol/peer_connection.py
@@ -10,7 +10,7 @@
 from marblefold.inner_protocol.exchange import Exchange, take_frame
 from marblefold.inner_protocol.frames import Frame, FrameKind, FrameReader, pack_frame
 
-__all__ = ["MateStream", "PEER_KEEP_ALIVE", "StreamOwner"]
+__all__ = ["PeerConnection", "PEER_KEEP_ALIVE", "StreamOwner"]
 
 # A cut says nothing: bytes not acknowledged for so long end the stream.
 _UNHEARD_MILLISECONDS = 2000
@@ -26,18 +26,18 @@
 
     def on_hop(self, exchange: "Exchange", payload: bytes) -> None: ...
 
-    def on_call(self, stream: "MateStream", number: int, payload: bytes) -> None: ...
+    def on_call(self, stream: "PeerConnection", number: int, payload: bytes) -> None: ...
 
-    def on_tell(self, stream: "MateStream", payload: bytes) -> None: ...
+    def on_tell(self, stream: "PeerConnection", payload: bytes) -> None: ...
 
-    def on_lost(self, stream: "MateStream") -> None: ...
+    def on_lost(self, stream: "PeerConnection") -> None: ...
 
 
-class MateStream(asyncio.Protocol):
+class PeerConnection(asyncio.Protocol):
     """Carries many exchanges at once; knows nothing of what they are about."""
 
-    def __init__(self, owner: StreamOwner, mate: str = "", keep_alive: int = 1) -> None:
-        self.mate = mate
+    def __init__(self, owner: StreamOwner, peer: str = "", keep_alive: int = 1) -> None:
+        self.peer = peer
         self._keep_alive = keep_alive
         self.is_open = False
         self.heard_at = time.monotonic()
@@ -70,7 +70,7 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         self.is_open = False
-        breakdown = Breakdown("stream", str(error or "closed"), self.mate)
+        breakdown = Breakdown("stream", str(error or "closed"), self.peer)
         exchanges, self._exchanges = self._exchanges, {}
         for exchange in exchanges.values():
             exchange.break_off(breakdown)
@@ -105,7 +105,7 @@
         return not self._exchanges and not self._calls
 
     def open_exchange(self) -> Exchange:
-        """Begins a hop toward the mate."""
+        """Begins a hop toward the peer."""
         self._next_number += 1
         # The guard lets a body come when it has a place for it.
         exchange = Exchange(self, self._next_number, 0)
@@ -119,7 +119,7 @@
     async def call(self, message: bytes, seconds: float) -> bytes:
         """Sends a message and waits for the reply, or a Breakdown."""
         if not self.is_open:
-            raise Breakdown("call", "stream is closed", self.mate)
+            raise Breakdown("call", "stream is closed", self.peer)
         self._next_number += 1
         number = self._next_number
         future = asyncio.get_running_loop().create_future()
@@ -129,14 +129,14 @@
             async with asyncio.timeout(seconds):
                 return await future
         except TimeoutError:
-            raise Breakdown("call", "no reply in time", self.mate) from None
+            raise Breakdown("call", "no reply in time", self.peer) from None
         finally:
             self._calls.pop(number, None)
 
     def is_silent(self, now: float, quiet: float, patience: float) -> bool:
-        """Whether the mate is asked for a sign of life and gives none.
+        """Whether the peer is asked for a sign of life and gives none.
 
-        A mate that holds exchanges of ours and says nothing is pinged; one
+        A peer that holds exchanges of ours and says nothing is pinged; one
         that is quiet because nothing is asked of it is left alone.
         """
         if self._pinged_at is not None and self.heard_at > self._pinged_at:
--- a/marblefold/membership/datagrams.py
+++ b/marblefold/membership/datagrams.py
@@ -27,9 +27,9 @@
     ).SerializeToString()
 
 
-def _unpack(data: bytes, mate: str) -> Message:
+def _unpack(data: bytes, peer: str) -> Message:
     probe = kinds.Probe.FromString(data)
-    return Message(mate, probe.kind, probe.number, probe.subject, tuple(
+    return Message(peer, probe.kind, probe.number, probe.subject, tuple(
         Member(
             member.address, member.node, member.role, member.zone, member.life,
             member.incarnation, Liveness[member.state])
@@ -65,7 +65,7 @@
         try:
             message = _unpack(data, f"{address[0]}:{address[1]}")
         except Exception as error:
-            log.info("datagram cannot be read", mate=str(address), reason=str(error))
+            log.info("datagram cannot be read", peer=str(address), reason=str(error))
             return
         self._send(self._prober.receive(message, time.monotonic()))
 
@@ -74,5 +74,5 @@
 
     def _send(self, messages: list[Message]) -> None:
         for message in messages:
-            host, _sign, port = message.mate.rpartition(":")
+            host, _sign, port = message.peer.rpartition(":")
             self._transport.sendto(_pack(message), (host, int(port)))
--- a/marblefold/membership/prober.py
+++ b/marblefold/membership/prober.py
@@ -1,4 +1,4 @@
-"""Probes a few mates in turn, asks others for a second opinion, and suspects
+"""Probes a few peers in turn, asks others for a second opinion, and suspects
 before it removes.  Pure: it is told the time and what came, and says what to
 send.
 """
@@ -33,7 +33,7 @@
 class Message(NamedTuple):
     """A datagram to send, or one that came."""
 
-    mate: str
+    peer: str
     kind: str
     number: int
     subject: str
@@ -104,17 +104,17 @@
         """Takes in a datagram; the answers to it."""
         for member in message.members:
             self.table.take(member, now)
-        self._note_sign_of_life(message.mate, now)
+        self._note_sign_of_life(message.peer, now)
         if message.kind == "ping":
-            return [self._make(message.mate, "acknowledgement", message.number, "")]
+            return [self._make(message.peer, "acknowledgement", message.number, "")]
         if message.kind == "ping_request":
             self._number += 1
-            self._relays[self._number] = _Relay(message.mate, message.number)
+            self._relays[self._number] = _Relay(message.peer, message.number)
             return [self._make(message.subject, "ping", self._number, "")]
         relay = self._relays.pop(message.number, None)
-        # Somebody asked us about this mate: it lives.
+        # Somebody asked us about this peer: it lives.
         if relay is not None:
-            return [self._make(relay.asker, "acknowledgement", relay.number, message.mate)]
+            return [self._make(relay.asker, "acknowledgement", relay.number, message.peer)]
         self._pending.pop(message.number, None)
         return []
 
@@ -206,13 +206,13 @@
         self._number += 1
         return self._make(address, "ping", self._number, "")
 
-    def _make(self, mate: str, kind: str, number: int, subject: str) -> Message:
+    def _make(self, peer: str, kind: str, number: int, subject: str) -> Message:
         members = [self.table.own]
-        known = self.table.find(mate)
-        # A mate must hear what is thought of it, to refute it.
+        known = self.table.find(peer)
+        # A peer must hear what is thought of it, to refute it.
         if known is not None and known.liveness is not Liveness.ALIVE:
             members.append(known)
         members.extend(
             member for member in self.table.pick_news(self._count_news())
             if member.address != self.table.own.address)
-        return Message(mate, kind, number, subject, tuple(members))
+        return Message(peer, kind, number, subject, tuple(members))
--- a/marblefold/planner/facts.py
+++ b/marblefold/planner/facts.py
@@ -34,7 +34,7 @@
     for index, row in enumerate(_list(document, "targets", "state")):
         try:
             targets.append(KnownTarget(
-                node=str(row.get("node", "")), mate="", zone=row[wire_names.ZONE],
+                node=str(row.get("node", "")), peer="", zone=row[wire_names.ZONE],
                 region=row.get("region", ""), instance=row["instance"],
                 upstream=row[wire_names.UPSTREAM], slots=int(row[wire_names.CAPACITY_SLOTS]),
                 site=str(row.get("site", "")), site_agent=str(row.get("site-agent", "")),
--- a/marblefold/proxy/program.py
+++ b/marblefold/proxy/program.py
@@ -9,9 +9,9 @@
 from marblefold.http_streams.answer import Answer
 from marblefold.http_streams.call_router import Call, CallRouter, json_answer
 from marblefold.http_streams.downstream_server import DownstreamServer
-from marblefold.inner_protocol.mate_book import MateBook
+from marblefold.inner_protocol.peer_book import PeerBook
 from marblefold.inner_protocol.exchange import Exchange
-from marblefold.inner_protocol.mate_stream import PEER_KEEP_ALIVE, MateStream
+from marblefold.inner_protocol.peer_connection import PEER_KEEP_ALIVE, PeerConnection
 from marblefold.inner_protocol.messages import kinds, unpack_message
 from marblefold.inner_protocol.ports import PROXY, REGISTRY, inner_address
 from marblefold.logs import log
@@ -41,7 +41,7 @@
 __all__ = ["ProxyProgram"]
 
 _OVERDUE_LOOK = timedelta(seconds=10)
-# Mates are told that we leave after this part of the grace period.
+# Peers are told that we leave after this part of the grace period.
 _TOLD_SHARE = 0.13
 
 
@@ -65,16 +65,16 @@
         self._membership = NodeMembership(watch, "proxy", PROXY, self._on_member)
         nominator = Nominator(self.view, config.zone)
         self.surroundings = Surroundings(self.view, nominator, config.bounds, config.limits)
-        self._mates = MateBook(self, keep_alive=PEER_KEEP_ALIVE)
+        self._peers = PeerBook(self, keep_alive=PEER_KEEP_ALIVE)
         self._hops = HopSender(
-            self._mates, lambda mate: nominator.note_silent(mate, time.monotonic()),
+            self._peers, lambda peer: nominator.note_silent(peer, time.monotonic()),
             config.limits.link_mbps * 125_000)
         self.executor = RequestExecutor(
             self.surroundings, self._hops, self.guard.work, config.upstream)
         self.view.on_partners = self._open_partner_door
         self._tracing = start_tracing(
             config, inner_address(config.host, config, PROXY), self.view, self.follower,
-            self._tasks, self._mates)
+            self._tasks, self._peers)
         if self._tracing is not None:
             self.executor.tracer = self.guard.tracer = self._tracing.tracer
         self._traffic = TrafficTeller(
@@ -104,7 +104,7 @@
         inner = inner_address(self._config.host, self._config, PROXY)
         host, _sign, port = inner.rpartition(":")
         await loop.create_server(
-            lambda: MateStream(self, keep_alive=PEER_KEEP_ALIVE), host, int(port), backlog=512)
+            lambda: PeerConnection(self, keep_alive=PEER_KEEP_ALIVE), host, int(port), backlog=512)
         await self._control.start(listen["control-plane"])
         await self._readiness_server.start(listen["readiness"])
         await self.outbound.start(listen["outbound"])
@@ -126,21 +126,21 @@
         self._tasks.cancel()
 
     def tell_leaving(self) -> None:
-        """Downstreams should go elsewhere now, and mates' hops a little later."""
+        """Downstreams should go elsewhere now, and peers' hops a little later."""
         self.is_leaving = True
         self.guard.begin_leaving(time.monotonic())
         # It takes the platform two seconds to notice; until that is half over
         # the target beside us serves on.
         wait = self.grace_period.total_seconds() * _TOLD_SHARE
-        asyncio.get_running_loop().call_later(wait, self._tell_mates_leaving)
+        asyncio.get_running_loop().call_later(wait, self._tell_peers_leaving)
 
-    def _tell_mates_leaving(self) -> None:
+    def _tell_peers_leaving(self) -> None:
         self._notices.is_leaving = True
         self.follower.tell()
 
     @property
     def hops_in_progress(self) -> int:
-        """How many hops of mates the guard has in hand."""
+        """How many hops of peers the guard has in hand."""
         return self.guard.in_progress
 
     @property
@@ -149,19 +149,19 @@
         return self._watch.config.bounds.grace_period
 
     def on_hop(self, exchange: Exchange, payload: bytes) -> None:
-        """A mate sends a hop for the target beside us."""
+        """A peer sends a hop for the target beside us."""
         self.guard.on_hop(exchange, payload)
 
-    def on_call(self, stream: MateStream, number: int, payload: bytes) -> None:
-        """Mates call for nothing."""
+    def on_call(self, stream: PeerConnection, number: int, payload: bytes) -> None:
+        """Peers call for nothing."""
 
-    def on_tell(self, stream: MateStream, payload: bytes) -> None:
-        """A mate tells which trace is to be kept."""
+    def on_tell(self, stream: PeerConnection, payload: bytes) -> None:
+        """A peer tells which trace is to be kept."""
         if self._tracing is not None:
             self._tracing.take(unpack_message(payload))
 
-    def on_lost(self, stream: MateStream) -> None:
-        """A mate's stream is gone; its hops were told already."""
+    def on_lost(self, stream: PeerConnection) -> None:
+        """A peer's stream is gone; its hops were told already."""
 
     async def _readiness(self, _call: Call) -> Answer:
         # Ready means: a downstream that comes now can be served as it should.
@@ -198,7 +198,7 @@
             self.view.suspects.discard(member.node)
         else:
             self.view.suspects.add(member.node)
-            self._mates.drop_idle(member.address)
+            self._peers.drop_idle(member.address)
 
     def _on_target_change(self) -> None:
         self.follower.tell()
--- a/marblefold/proxy/registry_follower.py
+++ b/marblefold/proxy/registry_follower.py
@@ -7,9 +7,9 @@
 
 from marblefold.breakdowns import Breakdown
 from marblefold.inner_protocol.frames import FrameKind
-from marblefold.inner_protocol.mate_book import MateBook
+from marblefold.inner_protocol.peer_book import PeerBook
 from marblefold.inner_protocol.exchange import Exchange
-from marblefold.inner_protocol.mate_stream import MateStream
+from marblefold.inner_protocol.peer_connection import PeerConnection
 from marblefold.inner_protocol.messages import kinds, pack_message, unpack_message
 from marblefold.logs import log
 from marblefold.proxy.term_asker import TermAsker
@@ -53,7 +53,7 @@
         self._asker = asker
         # How many registries are followed at once; None follows them all.
         self._most = most
-        self._mates = MateBook(self)
+        self._peers = PeerBook(self)
         self._wants = Wants(view.is_news, self.send_to)
         self._places: dict[str, tuple[int, int]] = {}
         self._following: set[str] = set()
@@ -76,12 +76,12 @@
 
     def send_to_all(self, message: object) -> None:
         """Tells all registries that are followed."""
-        for mate in self._following:
-            self.send_to(mate, message)
+        for peer in self._following:
+            self.send_to(peer, message)
 
-    def send_to(self, mate: str, message: object) -> bool:
+    def send_to(self, peer: str, message: object) -> bool:
         """Tells one registry something, if it can be reached now."""
-        stream = self._mates.find(mate)
+        stream = self._peers.find(peer)
         if stream is not None:
             stream.send(FrameKind.TELL, 0, pack_message(message))
         return stream is not None
@@ -95,9 +95,9 @@
                 log.info("in touch" if was_in_touch else "out of touch", node=self._node)
             wanted = self._find_wanted(time.monotonic())
             async with asyncio.TaskGroup() as group:
-                for mate in wanted:
-                    if self._mates.find(mate) is None:
-                        group.create_task(self._follow(mate))
+                for peer in wanted:
+                    if self._peers.find(peer) is None:
+                        group.create_task(self._follow(peer))
             self._ask_terms(time.monotonic())
             self._wants.repeat(time.monotonic())
             await asyncio.sleep(_LOOK_EVERY)
@@ -105,42 +105,42 @@
     def _ask_terms(self, now: float) -> None:
         if self._asker is None or not self._asker.is_due(now):
             return
-        for mate in self._following:
-            self.send_to(mate, self._asker.ask(mate, now))
+        for peer in self._following:
+            self.send_to(peer, self._asker.ask(peer, now))
 
     def _find_wanted(self, now: float) -> list[str]:
         known = set(self._seeds()) | self._view.registries
         if self._most is None:
             return list(known)
-        for mate in self._following & known:
+        for peer in self._following & known:
             # What says nothing, or reaches no majority, is not relied on.
-            is_silent = now - self._heard.get(mate, now) > _SILENT_SECONDS
-            is_alone = now - self._touched.get(mate, now) > _SILENT_SECONDS
+            is_silent = now - self._heard.get(peer, now) > _SILENT_SECONDS
+            is_alone = now - self._touched.get(peer, now) > _SILENT_SECONDS
             if is_silent or is_alone:
-                self._passed_over[mate] = now + _PASS_OVER_SECONDS
-        ranked = sorted(known, key=lambda mate: (
-            self._passed_over.get(mate, 0.0) > now, _rank(self._node, mate)))
+                self._passed_over[peer] = now + _PASS_OVER_SECONDS
+        ranked = sorted(known, key=lambda peer: (
+            self._passed_over.get(peer, 0.0) > now, _rank(self._node, peer)))
         wanted = ranked[:self._most]
-        for mate in list(self._following):
-            if mate not in wanted:
-                self._mates.drop(mate)
+        for peer in list(self._following):
+            if peer not in wanted:
+                self._peers.drop(peer)
         return wanted
 
-    async def _follow(self, mate: str) -> None:
+    async def _follow(self, peer: str) -> None:
         try:
-            stream = await self._mates.reach(mate)
+            stream = await self._peers.reach(peer)
         except Breakdown:
-            self._passed_over[mate] = time.monotonic() + _PASS_OVER_SECONDS
+            self._passed_over[peer] = time.monotonic() + _PASS_OVER_SECONDS
             return
-        self._following.add(mate)
-        self._heard[mate] = self._touched[mate] = time.monotonic()
+        self._following.add(peer)
+        self._heard[peer] = self._touched[peer] = time.monotonic()
         if self._make_notice is not None:
             stream.send(FrameKind.TELL, 0, pack_message(self._make_notice()))
-        life, place = self._places.get(mate, (0, 0))
+        life, place = self._places.get(peer, (0, 0))
         stream.send(FrameKind.TELL, 0, pack_message(
             kinds.Follow(node=self._node, registry_life=life, place=place)))
 
-    def on_tell(self, stream: MateStream, payload: bytes) -> None:
+    def on_tell(self, stream: PeerConnection, payload: bytes) -> None:
         """A part of a feed has come."""
         feed = unpack_message(payload)
         if isinstance(feed, kinds.TermGrant) and self._asker is not None:
@@ -149,24 +149,24 @@
             self._view.take(feed)
         if not isinstance(feed, kinds.Feed):
             return
-        self._heard[stream.mate] = time.monotonic()
-        life, place = self._places.get(stream.mate, (0, 0))
+        self._heard[stream.peer] = time.monotonic()
+        life, place = self._places.get(stream.peer, (0, 0))
         entries = feed.entries
         if feed.compressed_entries:
             entries = kinds.Feed.FromString(zlib.decompress(feed.compressed_entries)).entries
         # Changes that do not join on to what we have tell of a gap.
         joins = feed.frame or (feed.registry_life == life and feed.place - len(entries) <= place)
         if not joins:
-            self._places.pop(stream.mate, None)
+            self._places.pop(stream.peer, None)
             stream.send(FrameKind.TELL, 0, pack_message(kinds.Follow(node=self._node)))
             return
-        self._places[stream.mate] = (feed.registry_life, feed.place)
+        self._places[stream.peer] = (feed.registry_life, feed.place)
         if feed.in_touch:
-            self._touched[stream.mate] = time.monotonic()
+            self._touched[stream.peer] = time.monotonic()
         self._take_count(feed.proxies, time.monotonic())
         for entry in entries:
             if entry.deferred:
-                self._wants.hear(stream.mate, entry, time.monotonic())
+                self._wants.hear(stream.peer, entry, time.monotonic())
             else:
                 self._view.take(entry)
 
@@ -178,18 +178,18 @@
         if now - self._counted_since >= _COUNTING_SECONDS:
             self._view.proxies = max(self._view.proxies, proxies)
 
-    def on_lost(self, stream: MateStream) -> None:
+    def on_lost(self, stream: PeerConnection) -> None:
         """A registry is out of reach; the rounds will find it again."""
-        self._following.discard(stream.mate)
-        log.info("registry lost", mate=stream.mate)
+        self._following.discard(stream.peer)
+        log.info("registry lost", peer=stream.peer)
 
     def on_hop(self, exchange: Exchange, payload: bytes) -> None:
         """Registries send no hops."""
         exchange.close()
 
-    def on_call(self, stream: MateStream, number: int, payload: bytes) -> None:
+    def on_call(self, stream: PeerConnection, number: int, payload: bytes) -> None:
         """Registries call for nothing."""
 
 
-def _rank(node: str, mate: str) -> int:
-    return zlib.crc32(f"{node}|{mate}".encode())
+def _rank(node: str, peer: str) -> int:
+    return zlib.crc32(f"{node}|{peer}".encode())
--- a/marblefold/proxy/term_asker.py
+++ b/marblefold/proxy/term_asker.py
@@ -27,14 +27,14 @@
         self._next = now + _ASK_EVERY
         return True
 
-    def ask(self, mate: str, now: float) -> kinds.RenewTerm:
+    def ask(self, peer: str, now: float) -> kinds.RenewTerm:
         """What to ask the registry."""
         partners = self._view.partners
         return kinds.RenewTerm(
             node=self._node, number=self._view.terms.ask(now),
             digest=partners.digest if partners is not None else "",
             # Only the agent of our own site speaks for it, whatever its name.
-            site=self._site if mate == self._agent else "")
+            site=self._site if peer == self._agent else "")
 
     def take(self, message: kinds.TermGrant) -> None:
         """A registry granted terms."""
--- a/marblefold/proxy/wants.py
+++ b/marblefold/proxy/wants.py
@@ -15,7 +15,7 @@
 
     def __init__(self, entry) -> None:
         self.entry = entry
-        self.mates: list[str] = []
+        self.peers: list[str] = []
         self.asked_at = -1e9
 
 
@@ -29,7 +29,7 @@
         self._send = send
         self._wanted: dict[tuple[str, str], _Wanted] = {}
 
-    def hear(self, mate: str, entry, now: float) -> None:
+    def hear(self, peer: str, entry, now: float) -> None:
         """A registry has this entry."""
         if not self._is_news(entry):
             return
@@ -39,7 +39,7 @@
         if wanted is None or (wanted.entry.life, wanted.entry.number) < version:
             wanted = self._wanted[key] = _Wanted(entry)
         if (wanted.entry.life, wanted.entry.number) == version:
-            wanted.mates.insert(0, mate)
+            wanted.peers.insert(0, peer)
         self._ask(wanted, now)
 
     def repeat(self, now: float) -> None:
@@ -55,9 +55,9 @@
             return
         want = kinds.Want(kind=wanted.entry.kind, key=wanted.entry.key)
         # The one asked goes to the end: the next time it is another's turn.
-        for _ in range(len(wanted.mates)):
-            mate = wanted.mates.pop(0)
-            wanted.mates.append(mate)
-            if self._send(mate, want):
+        for _ in range(len(wanted.peers)):
+            peer = wanted.peers.pop(0)
+            wanted.peers.append(peer)
+            if self._send(peer, want):
                 wanted.asked_at = now
                 return
--- a/marblefold/registry/duty_rank.py
+++ b/marblefold/registry/duty_rank.py
@@ -31,8 +31,8 @@
         alive = {member.address for member in self._membership.members("registry")
                  if member.liveness is Liveness.ALIVE}
         candidates = (alive | {self._own}) & (self._registries() | {self._own})
-        return max(candidates, key=lambda mate: (_rank(key, mate), mate)) == self._own
+        return max(candidates, key=lambda peer: (_rank(key, peer), peer)) == self._own
 
 
-def _rank(key: str, mate: str) -> int:
-    return zlib.crc32(f"{key}|{mate}".encode())
+def _rank(key: str, peer: str) -> int:
+    return zlib.crc32(f"{key}|{peer}".encode())
--- a/marblefold/registry/feed.py
+++ b/marblefold/registry/feed.py
@@ -7,7 +7,7 @@
 from typing import Callable
 
 from marblefold.inner_protocol.frames import FrameKind
-from marblefold.inner_protocol.mate_stream import MateStream
+from marblefold.inner_protocol.peer_connection import PeerConnection
 from marblefold.inner_protocol.messages import kinds, pack_message
 from marblefold.registry.catalogue import Catalogue
 
@@ -37,11 +37,11 @@
         self._count_proxies = count_proxies
         self._soon = soon or _call_later
         self._pushed_at = 0.0
-        self._places: dict[MateStream, int] = {}
+        self._places: dict[PeerConnection, int] = {}
         self._is_pending = False
         catalogue.listen(self._on_change)
 
-    def follow(self, stream: MateStream, follow: kinds.Follow) -> None:
+    def follow(self, stream: PeerConnection, follow: kinds.Follow) -> None:
         """Somebody follows from a place on."""
         changes = self._catalogue.changes_since(follow.registry_life, follow.place)
         self._places[stream] = self._catalogue.place
@@ -52,7 +52,7 @@
         """How many follow this registry."""
         return len(self._places)
 
-    def forget(self, stream: MateStream) -> None:
+    def forget(self, stream: PeerConnection) -> None:
         """A follower is gone."""
         self._places.pop(stream, None)
 
@@ -90,7 +90,7 @@
             self._places[stream] = catalogue.place
             stream.send(FrameKind.TELL, 0, payload)
 
-    def give(self, stream: MateStream, want: kinds.Want) -> None:
+    def give(self, stream: PeerConnection, want: kinds.Want) -> None:
         """Somebody wants an entry whole."""
         entry = self._catalogue.find(want.kind, want.key)
         if entry is not None:
--- a/marblefold/registry/list_duty.py
+++ b/marblefold/registry/list_duty.py
@@ -67,7 +67,7 @@
             except Breakdown as breakdown:
                 # What is held serves on; many must not ask all at once.
                 back_off = min(_MOST_BACK_OFF, back_off * 1.5)
-                log.warning("no list", step=breakdown.step, mate=breakdown.mate,
+                log.warning("no list", step=breakdown.step, peer=breakdown.peer,
                             reason=breakdown.reason)
             await asyncio.sleep(
                 self._pause.total_seconds() * back_off * random.uniform(0.85, 1.0))
--- a/marblefold/registry/mate_news.py
+++ b/marblefold/registry/peer_news.py
@@ -4,10 +4,10 @@
 
 from marblefold.registry.catalogue import Catalogue
 
-__all__ = ["MateNews"]
+__all__ = ["PeerNews"]
 
 
-class MateNews:
+class PeerNews:
     """Follows the feeds of the others, for entries of a few kinds only."""
 
     def __init__(
--- a/marblefold/registry/platform_list.py
+++ b/marblefold/registry/platform_list.py
@@ -61,28 +61,28 @@
         path = wire_names.INSTANCES_CALL[1]
         if token:
             path += f"?{wire_names.PAGE_TOKEN}={quote(token, safe='')}"
-        mate = str(self._address)
+        peer = str(self._address)
         stream = None
         try:
             async with asyncio.timeout(_CALL_SECONDS):
                 stream = await self._streams.take()
-                head = f"GET {path} HTTP/1.1\r\nHost: {mate}\r\n\r\n"
+                head = f"GET {path} HTTP/1.1\r\nHost: {peer}\r\n\r\n"
                 await stream.begin(head.encode(), None)
                 answer = await stream.answer()
                 body = await answer.payload.read()
             self._streams.give_back(stream)
             stream = None
         except (TimeoutError, ConnectionError, HttpProcessingError) as error:
-            raise Breakdown("list", str(error) or "no answer", mate) from error
+            raise Breakdown("list", str(error) or "no answer", peer) from error
         finally:
             if stream is not None:
                 self._streams.discard(stream)
         if answer.status != 200:
-            raise Breakdown("list", f"status {answer.status}", mate)
+            raise Breakdown("list", f"status {answer.status}", peer)
         try:
             return read_page(body)
         except (ValueError, TypeError, KeyError, AttributeError) as error:
-            raise Breakdown("list", f"bad page: {error!r}", mate) from error
+            raise Breakdown("list", f"bad page: {error!r}", peer) from error
 
 
 def read_page(body: bytes) -> tuple[list[ListedTarget], str]:
--- a/marblefold/registry/program.py
+++ b/marblefold/registry/program.py
@@ -10,7 +10,7 @@
 from marblefold.http_streams.downstream_server import DownstreamServer
 from marblefold.inner_protocol.exchange import Exchange
 from marblefold.inner_protocol.frames import FrameKind
-from marblefold.inner_protocol.mate_stream import MateStream
+from marblefold.inner_protocol.peer_connection import PeerConnection
 from marblefold.inner_protocol.messages import kinds, pack_message, unpack_message
 from marblefold.inner_protocol.ports import GATEWAY_FOLLOWS, REGISTRY, STORE, inner_address
 from marblefold.logs import log
@@ -58,7 +58,7 @@
         self._registries: set[str] = set()
         self._view_number = 0
         self.feed = FeedKeeper(self.catalogue, self._is_in_touch, self._count_proxies)
-        self._streams: dict[MateStream, str] = {}
+        self._streams: dict[PeerConnection, str] = {}
         self._own = inner_address(config.host, config, REGISTRY)
         self._duties = DutyRank(
             self._membership, self._own, lambda: self._registries, self._is_in_touch)
@@ -89,7 +89,7 @@
         loop.add_signal_handler(signal.SIGHUP, self._watch.reread)
         inner = inner_address(self._config.host, self._config, REGISTRY)
         host, _sign, port = inner.rpartition(":")
-        await loop.create_server(lambda: MateStream(self), host, int(port), backlog=512)
+        await loop.create_server(lambda: PeerConnection(self), host, int(port), backlog=512)
         await self._membership.start()
         await self._control.start(self._config.listen["control-plane"])
         log.info("serving", node=self._config.node_name, inner=inner)
@@ -114,10 +114,10 @@
         # Nothing else needs these, so other deployments do not import them.
         from marblefold.proxy.registry_follower import RegistryFollower
         from marblefold.registry.list_duty import DUTY_REGISTER, ListDuty
-        from marblefold.registry.mate_news import MateNews
+        from marblefold.registry.peer_news import PeerNews
         from marblefold.registry.platform_list import PlatformList
 
-        news = MateNews(
+        news = PeerNews(
             self.catalogue, {"target"}, lambda: self._registries - {self._own})
         follower = RegistryFollower(config.node_name, lambda: [], news)
         duty = ListDuty(
@@ -128,7 +128,7 @@
             config.bounds.drain_time)
         return [follower.run(), duty.run()]
 
-    def on_tell(self, stream: MateStream, payload: bytes) -> None:
+    def on_tell(self, stream: PeerConnection, payload: bytes) -> None:
         """A proxy tells of itself, or follows the feed."""
         message = unpack_message(payload)
         if isinstance(message, kinds.Follow):
@@ -144,7 +144,7 @@
         elif isinstance(message, kinds.RenewTerm):
             stream.send(FrameKind.TELL, 0, pack_message(self._sites.granter.grant(message)))
 
-    def on_lost(self, stream: MateStream) -> None:
+    def on_lost(self, stream: PeerConnection) -> None:
         """A proxy's stream is gone; what it told holds until others know more."""
         self.feed.forget(stream)
         self._streams.pop(stream, None)
@@ -153,10 +153,10 @@
         """Nobody sends hops to a registry."""
         exchange.close()
 
-    def on_call(self, stream: MateStream, number: int, payload: bytes) -> None:
-        """Mates call for nothing here."""
+    def on_call(self, stream: PeerConnection, number: int, payload: bytes) -> None:
+        """Peers call for nothing here."""
 
-    def _take_notice(self, stream: MateStream, notice: kinds.TargetNotice) -> None:
+    def _take_notice(self, stream: PeerConnection, notice: kinds.TargetNotice) -> None:
         self._streams[stream] = notice.node
         self.catalogue.put(kinds.Entry(
             kind="target", key=notice.node, life=notice.node_life,
--- a/marblefold/registry/store_words.py
+++ b/marblefold/registry/store_words.py
@@ -5,9 +5,9 @@
 from typing import Callable, NamedTuple
 
 from marblefold.breakdowns import Breakdown
-from marblefold.inner_protocol.mate_book import MateBook
+from marblefold.inner_protocol.peer_book import PeerBook
 from marblefold.inner_protocol.exchange import Exchange
-from marblefold.inner_protocol.mate_stream import MateStream
+from marblefold.inner_protocol.peer_connection import PeerConnection
 from marblefold.inner_protocol.messages import kinds, pack_message, unpack_message
 from marblefold.logs import log
 
@@ -36,7 +36,7 @@
         self._own_store = own_store
         self._seeds = seeds
         self._on_word = on_word
-        self._mates = MateBook(self)
+        self._peers = PeerBook(self)
         self._watched: set[str] = set()
 
     async def ask(self, kind: str, register: str, number: int = 0, value: bytes = b""):
@@ -45,57 +45,57 @@
             kind=kind, register=register, number=number, value=value))
         started = time.monotonic()
         last: Breakdown | None = None
-        for mate in self._in_order():
+        for peer in self._in_order():
             left = _CALL_SECONDS - (time.monotonic() - started)
             if left <= 0.05:
                 break
             try:
-                stream = await self._mates.reach(mate)
+                stream = await self._peers.reach(peer)
                 answer = unpack_message(await stream.call(call, left))
             except Breakdown as breakdown:
                 last = breakdown
                 continue
             if answer.outcome != "unknown":
                 return answer
-            last = Breakdown(kind, answer.reason, mate)
+            last = Breakdown(kind, answer.reason, peer)
         raise last or Breakdown(kind, "no store known")
 
     async def run(self) -> None:
         """Listens to every store, for ever."""
         while True:
             async with asyncio.TaskGroup() as group:
-                for mate in self._in_order():
-                    if mate not in self._watched:
-                        group.create_task(self._watch(mate))
+                for peer in self._in_order():
+                    if peer not in self._watched:
+                        group.create_task(self._watch(peer))
             await asyncio.sleep(_LOOK_EVERY)
 
-    async def _watch(self, mate: str) -> None:
+    async def _watch(self, peer: str) -> None:
         try:
-            stream = await self._mates.reach(mate)
-            self._watched.add(mate)
+            stream = await self._peers.reach(peer)
+            self._watched.add(peer)
             await stream.call(pack_message(kinds.WordCall(kind="watch")), _CALL_SECONDS)
         except Breakdown:
-            self._watched.discard(mate)
+            self._watched.discard(peer)
 
     def _in_order(self) -> list[str]:
         known = set(self._seeds()) | self.stores
         others = sorted(known - {self._own_store})
         return [self._own_store, *others]
 
-    def on_tell(self, stream: MateStream, payload: bytes) -> None:
+    def on_tell(self, stream: PeerConnection, payload: bytes) -> None:
         """A store tells a word that holds."""
         accepted = unpack_message(payload)
         if isinstance(accepted, kinds.Accepted):
             self._on_word(HeldWord(accepted.register, accepted.number, accepted.value))
 
-    def on_lost(self, stream: MateStream) -> None:
+    def on_lost(self, stream: PeerConnection) -> None:
         """A store is out of reach."""
-        self._watched.discard(stream.mate)
-        log.info("store lost", mate=stream.mate)
+        self._watched.discard(stream.peer)
+        log.info("store lost", peer=stream.peer)
 
     def on_hop(self, exchange: Exchange, payload: bytes) -> None:
         """Stores send no hops."""
         exchange.close()
 
-    def on_call(self, stream: MateStream, number: int, payload: bytes) -> None:
+    def on_call(self, stream: PeerConnection, number: int, payload: bytes) -> None:
         """Stores call for nothing here."""
--- a/marblefold/rehearsal/flight.py
+++ b/marblefold/rehearsal/flight.py
@@ -150,7 +150,7 @@
             play.after(play.config.connect_seconds, lambda: self._take(hop, result))
             return
         silent = play.config.silent_seconds
-        play.after(silent, lambda: surroundings.nominator.note_silent(target.mate, play.now))
+        play.after(silent, lambda: surroundings.nominator.note_silent(target.peer, play.now))
         wait = silent if self._is_repeatable else play.config.unheard_seconds
         left = max(0.0, self._deadline - play.now)
         step = "silent" if self._is_repeatable else "stream"
--- a/marblefold/request_path/executor.py
+++ b/marblefold/request_path/executor.py
@@ -149,12 +149,12 @@
         result = HopResult(HopOutcome.UNKNOWN, step="cancelled")
         hop = None
         if span is not None:
-            peer = target.mate if self.hops.has_guard(target.upstream) else ""
+            peer = target.peer if self.hops.has_guard(target.upstream) else ""
             hop = self.tracer.begin_hop(
                 span, head, target.instance, peer, offer.attempt_number)
         try:
             result = await self.hops.send(
-                target.mate, head, request, body_limit, offer.seconds_left)
+                target.peer, head, request, body_limit, offer.seconds_left)
             return result
         finally:
             surroundings.end(target, ticket, result, decision.weight)
--- a/marblefold/request_path/guard.py
+++ b/marblefold/request_path/guard.py
@@ -31,7 +31,7 @@
 _DRAIN_SHARE = 0.4
 # The same for a proxy that leaves, of its grace period.
 _LEAVING_SHARE = 0.3
-# Until mates can have heard of it, a leaving proxy takes all that it is sent:
+# Until peers can have heard of it, a leaving proxy takes all that it is sent:
 # its target is as good as ever, and what it refuses others must bear.
 _UNTOLD_SHARE = 0.16
 _LEAST_SECONDS = 0.003
@@ -94,7 +94,7 @@
         self._caller = TargetCaller(self._streams)
 
     def on_hop(self, exchange: Exchange, payload: bytes) -> None:
-        """A hop has come from a mate."""
+        """A hop has come from a peer."""
         head = kinds.RequestHead.FromString(payload)
         task = asyncio.get_running_loop().create_task(self._serve(exchange, head))
         self._tasks.add(task)
@@ -134,7 +134,7 @@
             if not answer.body_follows:
                 exchange.send(FrameKind.ANSWER, answer.SerializeToString())
         except asyncio.CancelledError:
-            # The mate gave it up, or we did: in both cases this is the end.
+            # The peer gave it up, or we did: in both cases this is the end.
             exchange.send(FrameKind.RESET)
             raise
         finally:
@@ -234,7 +234,7 @@
     def _is_too_late(self, head) -> bool:
         if self._leaving_since is None:
             return False
-        # Mates that know of nothing better are served a little longer; then
+        # Peers that know of nothing better are served a little longer; then
         # the rest of the grace period is for what is under way.
         grace = self._bounds.grace_period.total_seconds()
         age = time.monotonic() - self._leaving_since
--- a/marblefold/request_path/hop_sender.py
+++ b/marblefold/request_path/hop_sender.py
@@ -10,14 +10,14 @@
 from marblefold.http_streams.downstream_request import BodyTooLarge, DownstreamRequest
 from marblefold.inner_protocol.frames import FrameKind
 from marblefold.inner_protocol.body_pipe import BodyPipe
-from marblefold.inner_protocol.mate_book import MateBook
+from marblefold.inner_protocol.peer_book import PeerBook
 from marblefold.inner_protocol.exchange import Exchange
 from marblefold.inner_protocol.messages import kinds
 from marblefold.request_path.outcome import HopOutcome, HopResult, Pressure
 
 __all__ = ["HopSender", "Hops", "make_result"]
 
-# A mate that holds hops and is quiet for so long is asked for a sign of life,
+# A peer that holds hops and is quiet for so long is asked for a sign of life,
 # and counts as silent when none comes in time.
 _QUIET_SECONDS = 0.15
 _PATIENCE_SECONDS = 0.3
@@ -29,28 +29,28 @@
 
 
 class Hops(Protocol):
-    """Where a hop ends: at a mate's guard, or at a target itself."""
+    """Where a hop ends: at a peer's guard, or at a target itself."""
 
     async def send(
-        self, mate: str, head, request: DownstreamRequest, body_bound: int, seconds: float,
+        self, peer: str, head, request: DownstreamRequest, body_bound: int, seconds: float,
     ) -> HopResult: ...
 
     def has_guard(self, upstream: str) -> bool: ...
 
 
 class HopSender:
-    """Carries hops over the streams to mates."""
+    """Carries hops over the streams to peers."""
 
     def __init__(
-        self, mates: MateBook, on_silent: Callable[[str], None],
+        self, peers: PeerBook, on_silent: Callable[[str], None],
         link_bytes_per_second: float = 1e9,
     ) -> None:
-        self._mates = mates
+        self._peers = peers
         self._patience = _PATIENCE_SECONDS + _AHEAD_BYTES / max(1.0, link_bytes_per_second)
         self._on_silent = on_silent
 
     async def run(self) -> None:
-        """Looks for mates that fell silent, for ever.
+        """Looks for peers that fell silent, for ever.
 
         A machine without power or behind a cut says nothing; what may be
         repeated need not wait for it until the deadline.
@@ -58,21 +58,21 @@
         while True:
             await asyncio.sleep(_LOOK_SECONDS)
             now = time.monotonic()
-            for stream in self._mates.streams():
+            for stream in self._peers.streams():
                 if stream.is_silent(now, _QUIET_SECONDS, self._patience):
-                    self._on_silent(stream.mate)
-                    stream.break_off_repeatable(Breakdown("silent", "no sign of life", stream.mate))
+                    self._on_silent(stream.peer)
+                    stream.break_off_repeatable(Breakdown("silent", "no sign of life", stream.peer))
 
     def has_guard(self, upstream: str) -> bool:
         """Hops end at a guard, whatever the upstream."""
         return True
 
     async def send(
-        self, mate: str, head, request: DownstreamRequest, body_bound: int, seconds: float,
+        self, peer: str, head, request: DownstreamRequest, body_bound: int, seconds: float,
     ) -> HopResult:
         """The hop's end; it raises only BodyTooLarge and a lost downstream."""
         try:
-            stream = await self._mates.reach(mate)
+            stream = await self._peers.reach(peer)
         except Breakdown as breakdown:
             # No stream, nothing sent: certain.
             return HopResult(HopOutcome.NEVER_OFFERED, step=breakdown.step)
--- a/marblefold/request_path/mesh_view.py
+++ b/marblefold/request_path/mesh_view.py
@@ -22,7 +22,7 @@
     """A target and the proxy beside it."""
 
     node: str
-    mate: str
+    peer: str
     zone: str
     region: str
     instance: str
@@ -74,10 +74,10 @@
             return self._partner_doors(upstream)
         return list(self._targets.get(upstream, {}).values())
 
-    def mates(self) -> set[str]:
+    def peers(self) -> set[str]:
         """Where hops to the known targets go."""
         return {
-            target.mate for targets in self._targets.values() for target in targets.values()}
+            target.peer for targets in self._targets.values() for target in targets.values()}
 
     def is_news(self, entry) -> bool:
         """Whether the entry outranks what is held under its key."""
@@ -149,7 +149,7 @@
         self._upstream_of[node] = notice.upstream
         self._targets.setdefault(notice.upstream, {})[node] = KnownTarget(
             node=node,
-            mate=notice.address,
+            peer=notice.address,
             zone=notice.zone,
             region=notice.region,
             instance=notice.instance,
--- a/marblefold/request_path/nomination.py
+++ b/marblefold/request_path/nomination.py
@@ -11,7 +11,7 @@
 
 __all__ = ["Nominee", "Nominator"]
 
-# A mate that says nothing is passed over for so long where others can serve.
+# A peer that says nothing is passed over for so long where others can serve.
 _SHUN_SECONDS = 1.0
 # Beyond this share of an upstream nobody is passed over any more: they cannot
 # all be that bad, and the rest could not bear it.
@@ -114,12 +114,12 @@
         self._record(target.node).note_failure(now)
 
     def note_breakdown(self, target: KnownTarget, now: float) -> None:
-        """The mate or its target could not be talked to."""
+        """The peer or its target could not be talked to."""
         self._record(target.node).note_breakdown(now)
 
-    def note_silent(self, mate: str, now: float) -> None:
-        """The mate gives no sign of life just now."""
-        self._silent_until[mate] = now + _SHUN_SECONDS
+    def note_silent(self, peer: str, now: float) -> None:
+        """The peer gives no sign of life just now."""
+        self._silent_until[peer] = now + _SHUN_SECONDS
 
     def note_refusal(self, target: KnownTarget, until: float) -> None:
         """The guard does not want more before that time."""
@@ -131,7 +131,7 @@
             target.node in self._view.suspects
             or now < record.broken_until
             or now < record.refused_until
-            or now < self._silent_until.get(target.mate, 0.0)
+            or now < self._silent_until.get(target.peer, 0.0)
         )
 
     def _draw(self, candidates: list[KnownTarget]) -> list[KnownTarget]:
--- a/marblefold/request_path/surroundings.py
+++ b/marblefold/request_path/surroundings.py
@@ -32,9 +32,11 @@
 
     def __init__(
         self, view: MeshView, nominator: Nominator, bounds: Bounds, limits: Limits,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = time.monotonic, tell: Callable = log.warning,
     ) -> None:
+        # A rehearsal has a clock of its own, and nothing of it belongs in the log.
         self._clock = clock
+        self._tell = tell
         self.traffic = TrafficCount()
         self.view = view
         self.nominator = nominator
@@ -57,8 +59,8 @@
         state = breaker.state
         passage = breaker.ask(now)
         if breaker.state is not state:
-            log.warning("breaker", upstream=upstream, state=breaker.state.value,
-                        outstanding=breaker.outstanding, threshold=breaker.threshold)
+            self._tell("breaker", upstream=upstream, state=breaker.state.value,
+                       outstanding=breaker.outstanding, threshold=breaker.threshold)
         return passage
 
     def may_repeat(self, upstream: str, now: float) -> bool:
--- a/marblefold/spec_store/mate_calls.py
+++ b/marblefold/spec_store/peer_calls.py
@@ -4,13 +4,13 @@
 
 from marblefold.breakdowns import Breakdown
 from marblefold.inner_protocol.frames import FrameKind
-from marblefold.inner_protocol.mate_book import MateBook
+from marblefold.inner_protocol.peer_book import PeerBook
 from marblefold.inner_protocol.messages import kinds, pack_message, unpack_message
 from marblefold.spec_store.acceptor import Acceptor
 from marblefold.spec_store.ballots import Holding, pack_holding
 from marblefold.spec_store.view import View, read_view
 
-__all__ = ["StoreMates", "answer_call"]
+__all__ = ["StorePeers", "answer_call"]
 
 _CALL_SECONDS = 1.0
 
@@ -29,47 +29,47 @@
     return None
 
 
-class StoreMates:
+class StorePeers:
     """The other stores, and when each was last heard."""
 
-    def __init__(self, acceptor: Acceptor, mates: MateBook) -> None:
+    def __init__(self, acceptor: Acceptor, peers: PeerBook) -> None:
         self.heard: dict[str, float] = {}
         self._acceptor = acceptor
-        self._mates = mates
+        self._peers = peers
 
     def current_view(self) -> View | None:
         """The newest chosen view known."""
         return self._acceptor.view
 
     def learn_view(self, view: View) -> None:
-        """A mate knows a view that was chosen."""
+        """A peer knows a view that was chosen."""
         self._acceptor.take_view(view)
 
-    def note_heard(self, mate: str) -> None:
-        """The mate said something."""
-        self.heard[mate] = time.monotonic()
+    def note_heard(self, peer: str) -> None:
+        """The peer said something."""
+        self.heard[peer] = time.monotonic()
 
-    def silence(self, mate: str, since: float) -> float:
-        """For how long the mate has said nothing."""
-        return time.monotonic() - max(self.heard.get(mate, since), since)
+    def silence(self, peer: str, since: float) -> float:
+        """For how long the peer has said nothing."""
+        return time.monotonic() - max(self.heard.get(peer, since), since)
 
-    def tell_chosen(self, mate: str, register: str, holding: Holding) -> None:
-        """Tells a mate that is in reach what was chosen; mending does the rest."""
-        stream = self._mates.find(mate)
+    def tell_chosen(self, peer: str, register: str, holding: Holding) -> None:
+        """Tells a peer that is in reach what was chosen; mending does the rest."""
+        stream = self._peers.find(peer)
         if stream is not None:
             stream.send(FrameKind.TELL, 0, pack_message(pack_holding(register, holding)))
 
-    async def call(self, mate: str, call: kinds.StoreCall) -> kinds.StoreAnswer:
-        """The mate's answer, or a Breakdown."""
+    async def call(self, peer: str, call: kinds.StoreCall) -> kinds.StoreAnswer:
+        """The peer's answer, or a Breakdown."""
         own = self._acceptor
-        if mate == own.address:
+        if peer == own.address:
             answer = answer_call(own, call)
             if answer is None:
-                raise Breakdown(call.kind, "not for ourselves", mate)
+                raise Breakdown(call.kind, "not for ourselves", peer)
             return answer
         call.sender = own.address
         call.sender_life = own.life
-        stream = await self._mates.reach(mate)
+        stream = await self._peers.reach(peer)
         answer = unpack_message(await stream.call(pack_message(call), _CALL_SECONDS))
-        self.note_heard(mate)
+        self.note_heard(peer)
         return answer
--- a/marblefold/spec_store/program.py
+++ b/marblefold/spec_store/program.py
@@ -6,9 +6,9 @@
 
 from marblefold.breakdowns import Breakdown
 from marblefold.inner_protocol.frames import FrameKind
-from marblefold.inner_protocol.mate_book import MateBook
+from marblefold.inner_protocol.peer_book import PeerBook
 from marblefold.inner_protocol.exchange import Exchange
-from marblefold.inner_protocol.mate_stream import MateStream
+from marblefold.inner_protocol.peer_connection import PeerConnection
 from marblefold.inner_protocol.messages import kinds, pack_message, unpack_message
 from marblefold.inner_protocol.ports import STORE, inner_address
 from marblefold.logs import log
@@ -17,7 +17,7 @@
 from marblefold.spec_store.ballots import Holding, read_holding
 from marblefold.spec_store.changes import (
     Change, empty_for_window, hold_evacuation, hold_spec, keep, release_from_window, replace_at)
-from marblefold.spec_store.mate_calls import StoreMates, answer_call
+from marblefold.spec_store.peer_calls import StorePeers, answer_call
 from marblefold.spec_store.proposer import Proposer
 from marblefold.spec_store.register_files import RegisterFiles
 from marblefold.spec_store.upkeep import Upkeep
@@ -41,11 +41,11 @@
         seeds = [inner_address(seed.host, config, STORE) for seed in config.seeds]
         self._acceptor = Acceptor(
             self._address, RegisterFiles(config.data_directory), seeds, config.is_first_start)
-        self._mates = StoreMates(self._acceptor, MateBook(self))
+        self._peers = StorePeers(self._acceptor, PeerBook(self))
         self._proposer = Proposer(
-            self._mates, f"{self._address}/{self._acceptor.life}/{os.urandom(4).hex()}")
+            self._peers, f"{self._address}/{self._acceptor.life}/{os.urandom(4).hex()}")
         self._words = ChosenWords()
-        self._upkeep = Upkeep(self._acceptor, self._mates, self._proposer, self._words, seeds,
+        self._upkeep = Upkeep(self._acceptor, self._peers, self._proposer, self._words, seeds,
             config.machine_losses)
         self._stop = asyncio.Event()
         self._tasks: set[asyncio.Task] = set()
@@ -56,7 +56,7 @@
         loop.add_signal_handler(signal.SIGTERM, self._stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._watch.reread)
         host, _sign, port = self._address.rpartition(":")
-        await loop.create_server(lambda: MateStream(self), host, int(port), backlog=128)
+        await loop.create_server(lambda: PeerConnection(self), host, int(port), backlog=128)
         log.info("serving", node=self._config.node_name, inner=self._address,
                  standing=self._acceptor.standing.value)
         tasks = [loop.create_task(self._watch.run()), loop.create_task(self._upkeep.run())]
@@ -67,7 +67,7 @@
         for task in tasks:
             task.cancel()
 
-    def on_call(self, stream: MateStream, number: int, payload: bytes) -> None:
+    def on_call(self, stream: PeerConnection, number: int, payload: bytes) -> None:
         """A store or a registry calls."""
         message = unpack_message(payload)
         if isinstance(message, kinds.StoreCall):
@@ -79,13 +79,13 @@
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
-    def on_tell(self, stream: MateStream, payload: bytes) -> None:
+    def on_tell(self, stream: PeerConnection, payload: bytes) -> None:
         """A store tells what was just chosen."""
         message = unpack_message(payload)
         if isinstance(message, kinds.Accepted):
             self._upkeep.take_chosen(message.register, read_holding(message))
 
-    def on_lost(self, stream: MateStream) -> None:
+    def on_lost(self, stream: PeerConnection) -> None:
         """A stream is gone; if a registry was behind it, it watches no more."""
         self._words.forget(stream)
 
@@ -94,7 +94,7 @@
         exchange.close()
 
     def _answer_store(self, call: kinds.StoreCall) -> kinds.StoreAnswer:
-        self._mates.note_heard(call.sender)
+        self._peers.note_heard(call.sender)
         answer = answer_call(self._acceptor, call)
         if answer is not None:
             return answer
@@ -109,11 +109,11 @@
             return kinds.StoreAnswer(view=view, reason="wait")
         return kinds.StoreAnswer(view=view, reason="no such call")
 
-    async def _answer_registry(self, stream: MateStream, number: int, call) -> None:
+    async def _answer_registry(self, stream: PeerConnection, number: int, call) -> None:
         answer = await self._make_answer(stream, call)
         stream.send(FrameKind.REPLY, number, pack_message(answer))
 
-    async def _make_answer(self, stream: MateStream, call) -> kinds.WordAnswer:
+    async def _make_answer(self, stream: PeerConnection, call) -> kinds.WordAnswer:
         if call.kind == "watch":
             self._words.watch(stream)
             self._tell_view(stream)
@@ -128,7 +128,7 @@
         self._spread(call.register, holding)
         return kinds.WordAnswer(outcome="held", number=holding.number, value=holding.value)
 
-    def _tell_view(self, stream: MateStream) -> None:
+    def _tell_view(self, stream: PeerConnection) -> None:
         """The first view was never proposed: no register tells it."""
         view = self._acceptor.view
         if view is not None:
@@ -138,8 +138,8 @@
     def _spread(self, register: str, holding: Holding) -> None:
         self._upkeep.take_chosen(register, holding)
         view = self._acceptor.view
-        for mate in view.members if view else ():
-            self._mates.tell_chosen(mate, register, holding)
+        for peer in view.members if view else ():
+            self._peers.tell_chosen(peer, register, holding)
 
 
 def _find_change(call: kinds.WordCall) -> Change | None:
--- a/marblefold/spec_store/proposer.py
+++ b/marblefold/spec_store/proposer.py
@@ -11,16 +11,16 @@
 from marblefold.spec_store.changes import Change, Held
 from marblefold.spec_store.view import View, read_view
 
-__all__ = ["MateCaller", "Proposer"]
+__all__ = ["PeerCaller", "Proposer"]
 
 _PHASE_SECONDS = 0.7
 _PAUSE_SECONDS = (0.005, 0.04)
 
 
-class MateCaller(Protocol):
+class PeerCaller(Protocol):
     """How a proposer reaches the acceptors, its own among them."""
 
-    async def call(self, mate: str, call: kinds.StoreCall) -> kinds.StoreAnswer: ...
+    async def call(self, peer: str, call: kinds.StoreCall) -> kinds.StoreAnswer: ...
 
     def learn_view(self, view: View) -> None: ...
 
@@ -38,11 +38,11 @@
     """Proposes changes one after the other for each register."""
 
     def __init__(
-        self, mates: MateCaller, name: str,
+        self, peers: PeerCaller, name: str,
         sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
-        self._mates = mates
+        self._peers = peers
         self._name = name
         self._sleep = sleep
         self._clock = clock
@@ -56,7 +56,7 @@
         # Two changes of our own would only outbid each other.
         async with turn:
             while True:
-                view = self._mates.current_view()
+                view = self._peers.current_view()
                 if view is None:
                     raise Breakdown("propose", "no view known")
                 held = await self._try(view, register, change)
@@ -96,15 +96,15 @@
         if len(answers) < view.majority:
             return None
         return _Promises(
-            {mate: answer.life for mate, answer in answers.items()},
+            {peer: answer.life for peer, answer in answers.items()},
             [read_holding(answer.accepted[0]) for answer in answers.values()])
 
     async def _ask(
-        self, mates: list[str], call: kinds.StoreCall, enough: int,
+        self, peers: list[str], call: kinds.StoreCall, enough: int,
     ) -> dict[str, kinds.StoreAnswer]:
         """The agreeing answers, as soon as they are enough or cannot be."""
         loop = asyncio.get_running_loop()
-        tasks = {loop.create_task(self._mates.call(mate, call)): mate for mate in mates}
+        tasks = {loop.create_task(self._peers.call(peer, call)): peer for peer in peers}
         agreed: dict[str, kinds.StoreAnswer] = {}
         pending = set(tasks)
         end = self._clock() + _PHASE_SECONDS
@@ -122,17 +122,17 @@
         return agreed
 
     def _sort(
-        self, mate: str, task: asyncio.Task, agreed: dict[str, kinds.StoreAnswer],
+        self, peer: str, task: asyncio.Task, agreed: dict[str, kinds.StoreAnswer],
     ) -> None:
         if task.exception() is not None:
             return
         answer = task.result()
         if answer.agreed:
-            agreed[mate] = answer
+            agreed[peer] = answer
             return
         self._counter = max(self._counter, answer.promised.counter)
         if answer.view:
-            self._mates.learn_view(read_view(answer.view))
+            self._peers.learn_view(read_view(answer.view))
 
 
 def _forget(task: asyncio.Task) -> None:
--- a/marblefold/spec_store/upkeep.py
+++ b/marblefold/spec_store/upkeep.py
@@ -12,7 +12,7 @@
 from marblefold.spec_store.acceptor import VIEW_REGISTER, Acceptor, Standing
 from marblefold.spec_store.ballots import read_holding
 from marblefold.spec_store.changes import change_view, keep
-from marblefold.spec_store.mate_calls import StoreMates
+from marblefold.spec_store.peer_calls import StorePeers
 from marblefold.spec_store.proposer import Proposer
 from marblefold.spec_store.view import read_view
 from marblefold.spec_store.words import ChosenWords
@@ -29,11 +29,11 @@
     """The rounds of one store."""
 
     def __init__(
-        self, acceptor: Acceptor, mates: StoreMates, proposer: Proposer, words: ChosenWords,
+        self, acceptor: Acceptor, peers: StorePeers, proposer: Proposer, words: ChosenWords,
         seeds: list[str], machine_losses: int = 1,
     ) -> None:
         self._acceptor = acceptor
-        self._mates = mates
+        self._peers = peers
         self._proposer = proposer
         self._words = words
         self._seeds = seeds
@@ -50,7 +50,7 @@
             try:
                 await self._round()
             except Breakdown as breakdown:
-                log.info("round", step=breakdown.step, mate=breakdown.mate,
+                log.info("round", step=breakdown.step, peer=breakdown.peer,
                          reason=breakdown.reason)
             await asyncio.sleep(_ROUND_SECONDS * random.uniform(0.8, 1.2))
 
@@ -73,8 +73,8 @@
     async def _read(self) -> None:
         """Reads all registers from enough others, then votes."""
         acceptor = self._acceptor
-        mates = acceptor.view.members if acceptor.view else self._seeds
-        others = [mate for mate in mates if mate != acceptor.address]
+        peers = acceptor.view.members if acceptor.view else self._seeds
+        others = [peer for peer in peers if peer != acceptor.address]
         kind = "read" if acceptor.is_member else "join"
         answers = await self._ask_all(others, kinds.StoreCall(
             kind=kind, view=acceptor.pack_view()))
@@ -118,7 +118,7 @@
             return
         call = kinds.StoreCall(
             kind="compare", view=acceptor.pack_view(), chosen=self._words.ballots())
-        others = [mate for mate in acceptor.view.members if mate != acceptor.address]
+        others = [peer for peer in acceptor.view.members if peer != acceptor.address]
         for answer in await self._ask_all(others, call):
             for message in answer.accepted:
                 self.take_chosen(message.register, read_holding(message))
@@ -133,10 +133,10 @@
         # One by one, each by the duty of one member; the register is the fence.
         newcomer = waiting[0]
         live = [
-            mate for mate in view.members
-            if mate == self._acceptor.address
-            or self._mates.silence(mate, self._began) <= _GONE_SECONDS]
-        if max(live, key=lambda mate: _rank(newcomer, mate)) != self._acceptor.address:
+            peer for peer in view.members
+            if peer == self._acceptor.address
+            or self._peers.silence(peer, self._began) <= _GONE_SECONDS]
+        if max(live, key=lambda peer: _rank(newcomer, peer)) != self._acceptor.address:
             return
         # Only while all the others vote: a newcomer reads from most of them.
         if len(live) < len(view.members):
@@ -149,8 +149,8 @@
 
     def _find_waiting(self, now: float) -> list[str]:
         return sorted(
-            mate for mate, at in self._waiting.items()
-            if now - at < _WAITING_SECONDS and mate not in self._acceptor.view.members)
+            peer for peer, at in self._waiting.items()
+            if now - at < _WAITING_SECONDS and peer not in self._acceptor.view.members)
 
     async def _swap_lost(self) -> None:
         """Swaps a member that is gone for a store that waits, if that is our duty."""
@@ -158,17 +158,17 @@
         view = self._acceptor.view
         waiting = self._find_waiting(now)
         lost = [
-            mate for mate in view.members
-            if mate != self._acceptor.address
-            and self._mates.silence(mate, self._began) > _GONE_SECONDS
+            peer for peer in view.members
+            if peer != self._acceptor.address
+            and self._peers.silence(peer, self._began) > _GONE_SECONDS
         ]
         if not waiting or not lost:
             return
         gone = lost[0]
-        live = [mate for mate in view.members if mate not in lost]
+        live = [peer for peer in view.members if peer not in lost]
         # The duty falls to one live member by key; the view register is the
         # fence that refuses the act of any other.
-        if max(live, key=lambda mate: _rank(gone, mate)) != self._acceptor.address:
+        if max(live, key=lambda peer: _rank(gone, peer)) != self._acceptor.address:
             return
         if not await self._is_gone_for_others(gone, live):
             return
@@ -180,19 +180,19 @@
 
     async def _is_gone_for_others(self, gone: str, live: list[str]) -> bool:
         """A second opinion: whether the others have not heard it either."""
-        others = [mate for mate in live if mate != self._acceptor.address]
+        others = [peer for peer in live if peer != self._acceptor.address]
         answers = await self._ask_all(others, kinds.StoreCall(
             kind="opinion", view=self._acceptor.pack_view(), register=gone))
         return bool(answers) and all(answer.agreed for answer in answers)
 
-    def opinion(self, mate: str) -> bool:
-        """Whether the mate is gone as far as we can tell."""
-        return self._mates.silence(mate, self._began) > _GONE_SECONDS
+    def opinion(self, peer: str) -> bool:
+        """Whether the peer is gone as far as we can tell."""
+        return self._peers.silence(peer, self._began) > _GONE_SECONDS
 
-    async def _ask_all(self, mates: list[str], call: kinds.StoreCall) -> list[kinds.StoreAnswer]:
+    async def _ask_all(self, peers: list[str], call: kinds.StoreCall) -> list[kinds.StoreAnswer]:
         results = await asyncio.gather(
-            *(self._mates.call(mate, kinds.StoreCall.FromString(call.SerializeToString()))
-              for mate in mates), return_exceptions=True)
+            *(self._peers.call(peer, kinds.StoreCall.FromString(call.SerializeToString()))
+              for peer in peers), return_exceptions=True)
         answers = []
         for result in results:
             if isinstance(result, Breakdown):
@@ -203,5 +203,5 @@
         return answers
 
 
-def _rank(key: str, mate: str) -> tuple[int, str]:
-    return zlib.crc32(f"{key}|{mate}".encode()), mate
+def _rank(key: str, peer: str) -> tuple[int, str]:
+    return zlib.crc32(f"{key}|{peer}".encode()), peer
--- a/marblefold/spec_store/words.py
+++ b/marblefold/spec_store/words.py
@@ -1,7 +1,7 @@
 """What is known to hold, and who wants to hear of it."""
 
 from marblefold.inner_protocol.frames import FrameKind
-from marblefold.inner_protocol.mate_stream import MateStream
+from marblefold.inner_protocol.peer_connection import PeerConnection
 from marblefold.inner_protocol.messages import kinds, pack_message
 from marblefold.spec_store.ballots import Ballot, Holding, pack_holding
 
@@ -13,7 +13,7 @@
 
     def __init__(self) -> None:
         self.holdings: dict[str, Holding] = {}
-        self._watchers: set[MateStream] = set()
+        self._watchers: set[PeerConnection] = set()
 
     def put(self, register: str, holding: Holding) -> bool:
         """Takes in a chosen holding; tells whether it was news."""
@@ -26,25 +26,25 @@
             stream.send(FrameKind.TELL, 0, payload)
         return True
 
-    def watch(self, stream: MateStream) -> None:
+    def watch(self, stream: PeerConnection) -> None:
         """The registry behind the stream hears all that holds, from now on."""
         self._watchers.add(stream)
         for register, holding in self.holdings.items():
             stream.send(FrameKind.TELL, 0, pack_message(pack_holding(register, holding)))
 
-    def forget(self, stream: MateStream) -> None:
+    def forget(self, stream: PeerConnection) -> None:
         """A watcher is gone."""
         self._watchers.discard(stream)
 
     def ballots(self) -> list[kinds.Accepted]:
-        """The ballots of all that holds, for mates to compare."""
+        """The ballots of all that holds, for peers to compare."""
         return [
             kinds.Accepted(register=register, ballot=holding.ballot.pack())
             for register, holding in self.holdings.items()
         ]
 
     def newer_than(self, ballots: list[kinds.Accepted]) -> list[kinds.Accepted]:
-        """What holds here and is newer than a mate's."""
+        """What holds here and is newer than a peer's."""
         theirs = {message.register: Ballot.read(message.ballot) for message in ballots}
         return [
             pack_holding(register, holding)
--- a/marblefold/tracing/node_tracing.py
+++ b/marblefold/tracing/node_tracing.py
@@ -5,7 +5,7 @@
 
 from marblefold.breakdowns import Breakdown
 from marblefold.inner_protocol.frames import FrameKind
-from marblefold.inner_protocol.mate_book import MateBook
+from marblefold.inner_protocol.peer_book import PeerBook
 from marblefold.inner_protocol.messages import kinds, pack_message
 from marblefold.node_config.reading import NodeConfig
 from marblefold.proxy.registry_follower import RegistryFollower
@@ -18,7 +18,7 @@
 
 __all__ = ["NodeTracing"]
 
-# A mate that cannot be reached for a mark is tried once more.
+# A peer that cannot be reached for a mark is tried once more.
 _MARK_TRIES = 2
 _MARK_PAUSE = timedelta(milliseconds=500)
 _OUTBOX_SECONDS = 8
@@ -29,7 +29,7 @@
 
     def __init__(
         self, options: TraceOptions, config: NodeConfig, address: str, view: MeshView,
-        follower: RegistryFollower, tasks: TaskKeeper, peers: MateBook | None = None,
+        follower: RegistryFollower, tasks: TaskKeeper, peers: PeerBook | None = None,
     ) -> None:
         self._peers = peers
         self._tasks = tasks
@@ -57,7 +57,7 @@
                 return
 
     def take(self, message: object) -> None:
-        """A mate passes a mark on."""
+        """A peer passes a mark on."""
         if isinstance(message, kinds.TraceMark):
             self.recorder.mark(message.trace_id)
 
--- a/marblefold/tracing/starting.py
+++ b/marblefold/tracing/starting.py
@@ -1,6 +1,6 @@
 """Starts tracing in a program, where its flags ask for it."""
 
-from marblefold.inner_protocol.mate_book import MateBook
+from marblefold.inner_protocol.peer_book import PeerBook
 from marblefold.node_config.model import NodeConfig
 from marblefold.program_flags import read_trace_options
 from marblefold.proxy.registry_follower import RegistryFollower
@@ -12,7 +12,7 @@
 
 def start_tracing(
     config: NodeConfig, address: str, view: MeshView, follower: RegistryFollower,
-    tasks: TaskKeeper, peers: MateBook | None = None,
+    tasks: TaskKeeper, peers: PeerBook | None = None,
 ):
     """The parts of tracing, or None; a program without it imports none of them."""
     options = read_trace_options()
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -30,7 +30,7 @@
 
     assert refusal(False) == ""
     guard.begin_leaving(100.0)
-    # Mates have not heard of it yet: what they send is still taken.
+    # Peers have not heard of it yet: what they send is still taken.
     assert refusal(False) == ""
     now[0] = 101.2
     assert refusal(False) == "leaving" and refusal(True) == ""
--- a/tools/scale/hollow.py
+++ b/tools/scale/hollow.py
@@ -12,7 +12,7 @@
 from datetime import timedelta
 from types import SimpleNamespace
 
-from marblefold.inner_protocol.mate_stream import MateStream
+from marblefold.inner_protocol.peer_connection import PeerConnection
 from marblefold.inner_protocol.ports import PROXY, REGISTRY, inner_address
 from marblefold.membership.datagrams import MembershipSocket
 from marblefold.membership.members import Liveness
@@ -36,7 +36,7 @@
 
     def instrument(self) -> None:
         """Counts what the real classes send and take; only in this process."""
-        take, send = MateStream.data_received, MateStream.send
+        take, send = PeerConnection.data_received, PeerConnection.send
         receive, send_all = MembershipSocket.datagram_received, MembershipSocket._send
 
         def count_taken(stream, data):
@@ -57,11 +57,11 @@
 
         def count_out(membership, messages):
             kept = [message for message in messages if not _is_cut(
-                membership, message.mate.rpartition(":")[0])]
+                membership, message.peer.rpartition(":")[0])]
             self.datagrams += len(kept)
             send_all(membership, kept)
 
-        MateStream.data_received, MateStream.send = count_taken, count_sent
+        PeerConnection.data_received, PeerConnection.send = count_taken, count_sent
         MembershipSocket.datagram_received, MembershipSocket._send = count_received, count_out
 
 
@@ -107,7 +107,7 @@
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
-        self.follower._mates.close()
+        self.follower._peers.close()
         self.membership._socket._transport.close()
 
     def _on_member(self, member) -> None:
@@ -167,12 +167,12 @@
             hosts = set(command["hosts"])
             for node in self.nodes.values():
                 _cuts[node.host] = hosts if command["on"] else set()
-                for mate in list(node.follower._mates._streams):
-                    if command["on"] and mate.rpartition(":")[0] in hosts:
-                        node.follower._mates.drop(mate)
-                node.follower._mates._shunned_until = {
-                    mate: time.monotonic() + 3600 for mate in node.view.registries
-                    if command["on"] and mate.rpartition(":")[0] in hosts}
+                for peer in list(node.follower._peers._streams):
+                    if command["on"] and peer.rpartition(":")[0] in hosts:
+                        node.follower._peers.drop(peer)
+                node.follower._peers._shunned_until = {
+                    peer: time.monotonic() + 3600 for peer in node.view.registries
+                    if command["on"] and peer.rpartition(":")[0] in hosts}
         return {
             "nodes": [node.describe() for node in self.nodes.values()],
             "spec-seen": {str(node): seen for node, seen in self._spec_seen.items()},
