Tell slowness of targets from their guards; describe tracing and rehearsals

Cause: with 194 callers and 97 targets one caller sees a target once in many seconds and learns of a slow one anew; the guard sees all of its traffic. The breaker stays fed by the node's own calls alone.

--- a/marblefold/gateway/program.py
+++ b/marblefold/gateway/program.py
@@ -16,7 +16,6 @@
 from marblefold.node_config.reading import NodeConfig
 from marblefold.node_config.watching import ConfigWatch
 from marblefold.operator_spec.mapping_table import MappingTable
-from marblefold.program_flags import read_traffic_period
 from marblefold.proxy.leaving import leave_in_order
 from marblefold.proxy.registry_follower import RegistryFollower
 from marblefold.proxy.term_asker import TermAsker
@@ -73,9 +72,7 @@
             self._tasks)
         if self._tracing is not None:
             self.executor.tracer = self._tracing.tracer
-        self._traffic = TrafficTeller(
-            self.surroundings.traffic, self.follower, config.node_name, config.zone,
-            config.region, lambda: 0.0, read_traffic_period())
+        self._traffic = TrafficTeller(self.surroundings.traffic, self.follower, config)
 
     async def run(self) -> None:
         """Serves until a SIGTERM has been obeyed."""
--- a/marblefold/proxy/program.py
+++ b/marblefold/proxy/program.py
@@ -12,7 +12,7 @@
 from marblefold.inner_protocol.peer_book import PeerBook
 from marblefold.inner_protocol.exchange import Exchange
 from marblefold.inner_protocol.peer_connection import PEER_KEEP_ALIVE, PeerConnection
-from marblefold.inner_protocol.messages import kinds, unpack_message
+from marblefold.inner_protocol.messages import unpack_message
 from marblefold.inner_protocol.ports import PROXY, REGISTRY, inner_address
 from marblefold.logs import log
 from marblefold.membership.members import Liveness, Member
@@ -20,7 +20,6 @@
 from marblefold.node_config.reading import NodeConfig
 from marblefold.node_config.watching import ConfigWatch
 from marblefold.operator_spec.mapping_table import MappingTable
-from marblefold.program_flags import read_traffic_period
 from marblefold.proxy.beats import BeatCalls
 from marblefold.proxy.health_probe import ask_health
 from marblefold.proxy.leaving import leave_in_order
@@ -59,8 +58,9 @@
         self.guard = Guard(
             self.target, self.view, config.bounds, config.limits.link_mbps * 125_000)
         self._notices = NoticeMaker(config, self.target)
+        self.guard.on_slowness = self._on_slowness
         self.follower = RegistryFollower(
-            config.node_name, self._seed_registries, self.view, self._make_notice,
+            config.node_name, self._seed_registries, self.view, self._notices.make,
             asker=TermAsker(config.node_name, self.view, config.site, config.site_agent))
         self._membership = NodeMembership(watch, "proxy", PROXY, self._on_member)
         nominator = Nominator(self.view, config.zone)
@@ -78,8 +78,8 @@
         if self._tracing is not None:
             self.executor.tracer = self.guard.tracer = self._tracing.tracer
         self._traffic = TrafficTeller(
-            self.surroundings.traffic, self.follower, config.node_name, config.zone,
-            config.region, lambda: self.guard.slots.service_seconds, read_traffic_period())
+            self.surroundings.traffic, self.follower, config,
+            lambda: self.guard.slots.service_seconds)
         self.outbound = DownstreamServer(self.executor.serve)
         calls, ready = CallRouter(), CallRouter()
         BeatCalls(self.target, config.zone).add_to(calls)
@@ -190,9 +190,6 @@
         config = self._watch.config
         return [inner_address(seed.host, config, REGISTRY) for seed in config.seeds]
 
-    def _make_notice(self) -> kinds.TargetNotice:
-        return self._notices.make()
-
     def _on_member(self, member: Member) -> None:
         if member.liveness is Liveness.ALIVE:
             self.view.suspects.discard(member.node)
@@ -203,6 +200,12 @@
     def _on_target_change(self) -> None:
         self.follower.tell()
 
+    def _on_slowness(self) -> None:
+        # A caller sees one target rarely; what the guard sees is told to all.
+        self._notices.slowness = self.guard.slowness.level
+        log.info("slowness", level=self.guard.slowness.level)
+        self.follower.tell()
+
     def _on_own_notice(self, life: int) -> None:
         # Our clock may have been set back: outbid the older life of ours.
         if self._notices.outbid(life):
--- a/marblefold/proxy/traffic_teller.py
+++ b/marblefold/proxy/traffic_teller.py
@@ -5,6 +5,8 @@
 from datetime import timedelta
 from typing import Callable
 
+from marblefold.node_config.model import NodeConfig
+from marblefold.program_flags import read_traffic_period
 from marblefold.proxy.registry_follower import RegistryFollower
 from marblefold.request_path.traffic_count import TrafficCount
 
@@ -15,16 +17,14 @@
     """Owns the pace of the notices."""
 
     def __init__(
-        self, count: TrafficCount, follower: RegistryFollower, node: str, zone: str, region: str,
-        service_seconds: Callable[[], float], period: timedelta,
+        self, count: TrafficCount, follower: RegistryFollower, config: NodeConfig,
+        service_seconds: Callable[[], float] = float, period: timedelta | None = None,
     ) -> None:
         self._count = count
         self._follower = follower
-        self._node = node
-        self._zone = zone
-        self._region = region
+        self._config = config
         self._service_seconds = service_seconds
-        self._period = period
+        self._period = read_traffic_period() if period is None else period
 
     async def run(self) -> None:
         """Tells, for ever; nodes that start together do not tell together."""
@@ -37,7 +37,8 @@
 
     def tell(self) -> None:
         """Tells the counts as they stand, where there is news."""
+        config = self._config
         notice = self._count.make_notice(
-            self._node, self._zone, self._region, self._service_seconds())
+            config.node_name, config.zone, config.region, self._service_seconds())
         if notice is not None:
             self._follower.send_to_all(notice)
--- a/marblefold/request_path/executor.py
+++ b/marblefold/request_path/executor.py
@@ -2,7 +2,6 @@
 
 import random
 import time
-from typing import Protocol
 
 from marblefold.http_streams.answer import Answer, own_answer
 from marblefold.http_streams.downstream_request import (
@@ -15,8 +14,9 @@
 from marblefold.request_path.outcome import HopOutcome, HopResult
 from marblefold.request_path.running_work import RunningWork
 from marblefold.request_path.surroundings import Surroundings
+from marblefold.request_path.tracers import RequestTracer
 
-__all__ = ["RequestExecutor", "RequestTracer"]
+__all__ = ["RequestExecutor"]
 
 # A body up to this is held, so that it can be offered once more.
 _HELD_BODY = 512 * 1024
@@ -27,21 +27,6 @@
 _CANCELLED = Conclude(Answer(0), "cancelled")
 
 
-class RequestTracer(Protocol):
-    """What is told of the steps of a request."""
-
-    def begin_request(
-        self, request, mapping: Mapping, upstream: str, run_span, caller: str, body: bytes,
-        is_whole: bool,
-    ): ...
-
-    def finish_request(self, span, status: int, step: str, may_have_run: bool) -> None: ...
-
-    def begin_hop(self, span, head, instance: str, peer: str, attempt: int): ...
-
-    def finish_hop(self, hop, result: HopResult) -> None: ...
-
-
 class RequestExecutor:
     """Serves the requests that downstreams send to this proxy."""
 
@@ -98,6 +83,7 @@
         now = time.monotonic()
         surroundings.note_request(upstream, now)
         head = self._make_head(request, mapping, upstream, body, is_whole)
+        head.aim_ms = int(decision.weight * 1000)
         if parent is not None:
             # Work was put into the run already: its calls go first.
             head.priority = 0
--- a/marblefold/request_path/guard.py
+++ b/marblefold/request_path/guard.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import time
-from typing import Protocol
+from typing import Callable
 
 from marblefold import wire_names
 from marblefold.http_streams.target_streams import TargetStreams
@@ -18,13 +18,16 @@
 from marblefold.request_path.intake import Intake
 from marblefold.request_path.local_target import LocalTarget, TargetState
 from marblefold.request_path.mesh_view import MeshView
+from marblefold.request_path.offered_hops import Offered, OfferedHops
 from marblefold.request_path.outcome import HopOutcome
 from marblefold.request_path.running_work import Run, RunningWork
 from marblefold.request_path.slot_queue import SlotQueue, Turn
+from marblefold.request_path.slowness import Slowness
 from marblefold.request_path.target_caller import TargetCaller
+from marblefold.request_path.tracers import GuardTracer
 from marblefold.request_path.upstream_limits import find_cold_most, find_slots
 
-__all__ = ["Guard", "GuardTracer"]
+__all__ = ["Guard"]
 
 # A leaving target takes what has no other place to go for this part of its
 # drain time; the rest of that time is for what is then under way.
@@ -45,20 +48,10 @@
 _SHUN_SECONDS = 0.2
 
 
-class GuardTracer(Protocol):
-    """What is told of the hops that come to a guard."""
-
-    def begin_serve(self, head): ...
-
-    def finish_serve(self, span, answer, body_bytes: int) -> None: ...
-
-
 class Guard:
     """Asks nobody else whether a hop may go to the target."""
-
     def __init__(
-        self, target: LocalTarget, view: MeshView, bounds: Bounds,
-        link_bytes_per_second: float = 1e9,
+        self, target: LocalTarget, view: MeshView, bounds: Bounds, link_bytes_per_second=1e9,
     ) -> None:
         self.cold = ColdLimit()
         self.slots = SlotQueue(1)
@@ -70,8 +63,9 @@
         self._streams: TargetStreams | None = None
         self._caller: TargetCaller | None = None
         self._tasks: set[asyncio.Task] = set()
-        # The hops that the target holds now, by when they were offered.
-        self._offered: dict[Exchange, float] = {}
+        self._offered = OfferedHops()
+        self.slowness = Slowness()
+        self.on_slowness: Callable[[], None] = lambda: None
         self._unreachable_until = 0.0
         self._leaving_since: float | None = None
         # Told of every hop, where this node traces.
@@ -106,24 +100,25 @@
         while True:
             await asyncio.sleep(_LOOK_SECONDS)
             now = time.monotonic()
-            waiting = [at for at in self._offered.values() if now - at > _QUIET_SECONDS]
+            if self.slowness.look(self._offered.weighted_ages(now), now):
+                self.on_slowness()
             # One long request is no sign; several and not a byte are.
-            if len(waiting) < 2 or now - self._streams.heard_at < _QUIET_SECONDS:
+            waiting = self._offered.count_older(now, _QUIET_SECONDS)
+            if waiting < 2 or now - self._streams.heard_at < _QUIET_SECONDS:
                 continue
             if not await self._streams.is_reachable():
                 self._give_up_on_target(now)
 
     def _give_up_on_target(self, now: float) -> None:
         self._unreachable_until = time.monotonic() + _SHUN_SECONDS
-        for exchange, at in list(self._offered.items()):
-            # What may be repeated need not wait here until its deadline.
-            if exchange.is_repeatable and at <= now and exchange.on_cancel is not None:
+        # What may be repeated need not wait here until its deadline.
+        for exchange in self._offered.repeatable_before(now):
+            if exchange.on_cancel is not None:
                 exchange.on_cancel()
 
     async def _serve(self, exchange: Exchange, head) -> None:
-        span = None
-        if self.tracer is not None and head.trace_id:
-            span = self.tracer.begin_serve(head)
+        is_traced = self.tracer is not None and head.trace_id
+        span = self.tracer.begin_serve(head) if is_traced else None
         answer = None
         try:
             answer = await self._pass(exchange, head, time.monotonic(), span)
@@ -176,25 +171,32 @@
             if not self.cold.may_offer(started, most):
                 return _refuse("cold", self.cold.retry_after(started))
             head.deadline_left_ms = max(1, int(left * 1000))
-            self._offered[exchange] = started
+            offered = self._offered.begin(exchange, started, head.aim_ms / 1000.0)
             self.work.begin(run)
             exchange.is_repeatable = head.mapping_kind == wire_names.READ_ONLY
             is_owner = (lambda: self._is_owner(head)) if head.owner_epoch else None
             answer = await self._caller.offer(exchange, head, left, is_owner)
         finally:
-            self._offered.pop(exchange, None)
+            self._offered.end(exchange)
             self.work.end(run)
             self.slots.give_back()
         if answer.outcome == HopOutcome.NEVER_OFFERED:
             self._unreachable_until = time.monotonic() + _SHUN_SECONDS
             answer.retry_after_ms = int(_SHUN_SECONDS * 1000)
-        self._learn(answer, time.monotonic() - started)
+        self._learn(answer, offered)
         return answer
 
-    def _learn(self, answer, seconds: float) -> None:
+    def _learn(self, answer, offered: Offered) -> None:
+        now = time.monotonic()
+        seconds = now - offered.at
         answer.service_us = int(seconds * 1e6)
-        if answer.outcome == HopOutcome.ANSWERED:
-            self.slots.note_service(seconds)
+        if answer.outcome != HopOutcome.ANSWERED:
+            return
+        self.slots.note_service(seconds)
+        # A cold target is slow for a reason that is known already.
+        is_cold = now < self._target.cold_until
+        if not is_cold and self.slowness.note(seconds / offered.aim, now):
+            self.on_slowness()
 
     def _find_refusal(self, head):
         """Why the hop must not go to the target, if it must not."""
--- /dev/null
+++ b/marblefold/request_path/tracers.py
@@ -0,0 +1,31 @@
+"""What is told of requests and hops, where a node traces."""
+
+from typing import Protocol
+
+from marblefold.operator_spec.rows import Mapping
+from marblefold.request_path.outcome import HopResult
+
+__all__ = ["GuardTracer", "RequestTracer"]
+
+
+class RequestTracer(Protocol):
+    """What is told of the steps of a request."""
+
+    def begin_request(
+        self, request, mapping: Mapping, upstream: str, run_span, caller: str, body: bytes,
+        is_whole: bool,
+    ): ...
+
+    def finish_request(self, span, status: int, step: str, may_have_run: bool) -> None: ...
+
+    def begin_hop(self, span, head, instance: str, peer: str, attempt: int): ...
+
+    def finish_hop(self, hop, result: HopResult) -> None: ...
+
+
+class GuardTracer(Protocol):
+    """What is told of the hops that come to a guard."""
+
+    def begin_serve(self, head): ...
+
+    def finish_serve(self, span, answer, body_bytes: int) -> None: ...
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -15,6 +15,8 @@
 from marblefold.partners.calls import PartnerCalls
 from marblefold.proxy.beats import BeatCalls, read_beat
 from marblefold.registry.control_calls import ControlCalls
+from marblefold.rehearsal.calls import RehearsalCalls
+from marblefold.tracing.calls import TraceCalls
 
 ROOT = pathlib.Path(__file__).parent.parent
 API = yaml.safe_load((ROOT / "api/openapi.yaml").read_text())
@@ -39,6 +41,8 @@
     MaintenanceCalls(None, set, dict).add_to(router)
     PartnerCalls(None, None, dict).add_to(router)
     OwnerCalls(None, None).add_to(router)
+    TraceCalls(None, None).add_to(router)
+    RehearsalCalls(None, dict).add_to(router)
     served = router.calls | {wire_names.READINESS_CALL}
     described = set()
     for path, operations in API["paths"].items():
@@ -50,7 +54,9 @@
     assert moved == described - {
         wire_names.READINESS_CALL, ("GET", wire_names.STATE_PATH)} - {
         call for call in described
-        if call[1].split("/")[2] in ("maintenance", "partners", "exports", "owners")}
+        if call[1].split("/")[2] in (
+            "maintenance", "partners", "exports", "owners", "traces", "doubles", "snapshot",
+            "rehearsal")}
 
 
 def test_the_model_of_a_spec_has_the_fields_described():
