--- a/marblefold/proxy/notices.py
+++ b/marblefold/proxy/notices.py
@@ -15,7 +15,6 @@
 
     def __init__(self, config: NodeConfig, target: LocalTarget) -> None:
         self.is_leaving = False
-        self.slowness = 1
         self._config = config
         self._target = target
         # Lives are ordered by the clock, and outbid where that misleads.
@@ -41,7 +40,6 @@
             leaving=self.is_leaving,
             site=config.site,
             site_agent=config.site_agent,
-            slowness=self.slowness,
         )
 
     def outbid(self, life: int) -> bool:
--- a/marblefold/proxy/program.py
+++ b/marblefold/proxy/program.py
@@ -58,7 +58,6 @@
         self.guard = Guard(
             self.target, self.view, config.bounds, config.limits.link_mbps * 125_000)
         self._notices = NoticeMaker(config, self.target)
-        self.guard.on_slowness = self._on_slowness
         self.follower = RegistryFollower(
             config.node_name, self._seed_registries, self.view, self._notices.make,
             asker=TermAsker(config.node_name, self.view, config.site, config.site_agent))
@@ -200,12 +199,6 @@
     def _on_target_change(self) -> None:
         self.follower.tell()
 
-    def _on_slowness(self) -> None:
-        # A caller sees one target rarely; what the guard sees is told to all.
-        self._notices.slowness = self.guard.slowness.level
-        log.info("slowness", level=self.guard.slowness.level)
-        self.follower.tell()
-
     def _on_own_notice(self, life: int) -> None:
         # Our clock may have been set back: outbid the older life of ours.
         if self._notices.outbid(life):
--- a/marblefold/request_path/executor.py
+++ b/marblefold/request_path/executor.py
@@ -83,7 +83,6 @@
         now = time.monotonic()
         surroundings.note_request(upstream, now)
         head = self._make_head(request, mapping, upstream, body, is_whole)
-        head.aim_ms = int(decision.weight * 1000)
         if parent is not None:
             # Work was put into the run already: its calls go first.
             head.priority = 0
--- a/marblefold/request_path/guard.py
+++ b/marblefold/request_path/guard.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import time
-from typing import Callable
 
 from marblefold import wire_names
 from marblefold.http_streams.target_streams import TargetStreams
@@ -18,11 +17,10 @@
 from marblefold.request_path.intake import Intake
 from marblefold.request_path.local_target import LocalTarget, TargetState
 from marblefold.request_path.mesh_view import MeshView
-from marblefold.request_path.offered_hops import Offered, OfferedHops
+from marblefold.request_path.offered_hops import OfferedHops
 from marblefold.request_path.outcome import HopOutcome
 from marblefold.request_path.running_work import Run, RunningWork
 from marblefold.request_path.slot_queue import SlotQueue, Turn
-from marblefold.request_path.slowness import Slowness
 from marblefold.request_path.target_caller import TargetCaller
 from marblefold.request_path.tracers import GuardTracer
 from marblefold.request_path.upstream_limits import find_cold_most, find_slots
@@ -64,8 +62,6 @@
         self._caller: TargetCaller | None = None
         self._tasks: set[asyncio.Task] = set()
         self._offered = OfferedHops()
-        self.slowness = Slowness()
-        self.on_slowness: Callable[[], None] = lambda: None
         self._unreachable_until = 0.0
         self._leaving_since: float | None = None
         # Told of every hop, where this node traces.
@@ -100,8 +96,6 @@
         while True:
             await asyncio.sleep(_LOOK_SECONDS)
             now = time.monotonic()
-            if self.slowness.look(self._offered.weighted_ages(now), now):
-                self.on_slowness()
             # One long request is no sign; several and not a byte are.
             waiting = self._offered.count_older(now, _QUIET_SECONDS)
             if waiting < 2 or now - self._streams.heard_at < _QUIET_SECONDS:
@@ -171,7 +165,7 @@
             if not self.cold.may_offer(started, most):
                 return _refuse("cold", self.cold.retry_after(started))
             head.deadline_left_ms = max(1, int(left * 1000))
-            offered = self._offered.begin(exchange, started, head.aim_ms / 1000.0)
+            self._offered.begin(exchange, started)
             self.work.begin(run)
             exchange.is_repeatable = head.mapping_kind == wire_names.READ_ONLY
             is_owner = (lambda: self._is_owner(head)) if head.owner_epoch else None
@@ -183,20 +177,13 @@
         if answer.outcome == HopOutcome.NEVER_OFFERED:
             self._unreachable_until = time.monotonic() + _SHUN_SECONDS
             answer.retry_after_ms = int(_SHUN_SECONDS * 1000)
-        self._learn(answer, offered)
+        self._learn(answer, time.monotonic() - started)
         return answer
 
-    def _learn(self, answer, offered: Offered) -> None:
-        now = time.monotonic()
-        seconds = now - offered.at
+    def _learn(self, answer, seconds: float) -> None:
         answer.service_us = int(seconds * 1e6)
-        if answer.outcome != HopOutcome.ANSWERED:
-            return
-        self.slots.note_service(seconds)
-        # A cold target is slow for a reason that is known already.
-        is_cold = now < self._target.cold_until
-        if not is_cold and self.slowness.note(seconds / offered.aim, now):
-            self.on_slowness()
+        if answer.outcome == HopOutcome.ANSWERED:
+            self.slots.note_service(seconds)
 
     def _find_refusal(self, head):
         """Why the hop must not go to the target, if it must not."""
--- a/marblefold/request_path/mesh_view.py
+++ b/marblefold/request_path/mesh_view.py
@@ -34,8 +34,6 @@
     # The site that claims the service here, and the registry that does so.
     site: str = ""
     site_agent: str = ""
-    # How many times its usual it takes, as the guard beside it sees.
-    slowness: int = 1
 
 
 class KnownOwner(NamedTuple):
@@ -162,7 +160,6 @@
             is_leaving=notice.leaving,
             site=notice.site,
             site_agent=notice.site_agent,
-            slowness=max(1, notice.slowness),
         )
 
     def _take_evacuation(self, entry) -> None:
--- a/marblefold/request_path/nomination.py
+++ b/marblefold/request_path/nomination.py
@@ -160,9 +160,7 @@
         use = record.use(target.slots, now)
         # While slots are free more work hardly slows; beyond them it queues.
         factor = 1.0 + 0.3 * use + 4.0 * max(0.0, use - 0.8)
-        usual = self._usual.get(target.upstream, _FIRST_LATENCY)
-        # Our own calls tell more, where there are any; else the guard's word.
-        latency = max(record.latency(usual, now), usual * target.slowness)
+        latency = record.latency(self._usual.get(target.upstream, _FIRST_LATENCY), now)
         if target.cold_until > now:
             factor *= 3.0
         failing = _FAILURE_SURCHARGE * record.failing(now)
