--- a/tools/scale/__main__.py
+++ b/tools/scale/__main__.py
@@ -25,6 +25,9 @@
 flags.DEFINE_integer("each", 60, "Hollow nodes to a process.", lower_bound=1, upper_bound=200)
 flags.DEFINE_integer("runs", 1, "How often all of it is done.", lower_bound=1, upper_bound=10)
 flags.DEFINE_float("seconds", 10.0, "How long rest is measured.", lower_bound=1, upper_bound=120)
+flags.DEFINE_float(
+    "settle", 15.0, "How long news of the start may go round before rest is measured.",
+    lower_bound=0, upper_bound=120)
 flags.DEFINE_float("longest", 60.0, "How long one phase may take.", lower_bound=5, upper_bound=300)
 flags.DEFINE_integer("first_port", 24000, "The first port.", lower_bound=1024, upper_bound=60000)
 flags.DEFINE_multi_enum(
@@ -68,7 +71,7 @@
     found: dict = {}
     with tempfile.TemporaryDirectory(prefix="scale-") as folder:
         async with Fleet(layout, Path(folder), FLAGS.each) as fleet:
-            phases = Phases(fleet, FLAGS.mappings, FLAGS.seconds, FLAGS.longest)
+            phases = Phases(fleet, FLAGS.mappings, FLAGS.seconds, FLAGS.settle, FLAGS.longest)
             acts = {"rest": phases.rest, "change": phases.change,
                     "churn": lambda: phases.churn(_RESTARTS, _CHANGES),
                     "registry": phases.lose_registry, "cut": phases.cut}
--- a/tools/scale/phases.py
+++ b/tools/scale/phases.py
@@ -19,7 +19,10 @@
 class Phases:
     """Runs the phases one after the other; each gives its figures."""
 
-    def __init__(self, fleet: Fleet, mappings: int, seconds: float, longest: float) -> None:
+    def __init__(
+        self, fleet: Fleet, mappings: int, seconds: float, settle: float, longest: float,
+    ) -> None:
+        self._settle = settle
         self._fleet = fleet
         self._mappings = mappings
         self._seconds = seconds
@@ -52,6 +55,8 @@
 
     async def rest(self) -> dict:
         """Nothing happens: what control costs by itself."""
+        # News of who has come is passed on for a while.
+        await asyncio.sleep(self._settle)
         return await self._measure(asyncio.sleep(self._seconds))
 
     async def change(self) -> dict:
