--- a/marblefold/command_line.py
+++ b/marblefold/command_line.py
@@ -38,6 +38,7 @@
         "       python3 -m marblefold partners --registry=HOST:PORT list|grant|withdraw|export\n"
         "       python3 -m marblefold owners --registry=HOST:PORT list|set\n"
         "       python3 -m marblefold trace --registry=HOST:PORT show ID|doubles|list\n"
+        "       python3 -m marblefold history --registry=HOST:PORT list|show N|diff N M\n"
         "       python3 -m marblefold rehearse (--registry=HOST:PORT | --snapshot=FILE) ...\n"
         f"PROGRAM is one of: {', '.join(sorted(_PROGRAMS))}\n"
         "The config file is named by MARBLEFOLD_NODE_FILE.\n"
@@ -55,6 +56,8 @@
         from marblefold.site_command import run_owners, run_partners
     if "trace" in arguments[1:]:
         from marblefold.tracing.command import run_trace
+    if "history" in arguments[1:]:
+        from marblefold.history.command import run_history
     if "rehearse" in arguments[1:]:
         from marblefold.rehearsal.command import run_rehearsal
     if "--help" in arguments or "-h" in arguments:
@@ -78,6 +81,8 @@
         return run_owners(rest[2:])
     if rest[1:2] == ["trace"]:
         return run_trace(rest[2:])
+    if rest[1:2] == ["history"]:
+        return run_history(rest[2:])
     if rest[1:2] == ["rehearse"]:
         return run_rehearsal(rest[2:])
     if len(rest) != 2 or rest[1] not in _PROGRAMS:
--- /dev/null
+++ b/marblefold/history/command.py
@@ -0,0 +1,60 @@
+"""The command line over the history of configurations."""
+
+import asyncio
+import difflib
+import json
+import sys
+from datetime import datetime, timezone
+
+from absl import flags
+
+from marblefold import wire_names
+from marblefold.breakdowns import Breakdown
+from marblefold.registry_client import ask_one
+
+__all__ = ["run_history"]
+
+FLAGS = flags.FLAGS
+if "registry" not in FLAGS:
+    flags.DEFINE_string("registry", "", "Registry to ask, HOST:PORT.")
+
+_FINE, _DIFFERENT, _USAGE = 0, 1, 2
+_COUNTS = {"list": 1, "show": 2, "diff": 3}
+
+
+def run_history(words: list[str]) -> int:
+    """history list | show N | diff N M."""
+    if not words or _COUNTS.get(words[0]) != len(words) or not FLAGS.registry:
+        print("usage: python3 -m marblefold history --registry=HOST:PORT "
+              "list | show N | diff N M", file=sys.stderr)
+        return _USAGE
+    try:
+        return asyncio.run(_run(words))
+    except Breakdown as breakdown:
+        print(breakdown, file=sys.stderr)
+        return _USAGE
+
+
+async def _run(words: list[str]) -> int:
+    if words[0] == "list":
+        for row in (await _ask(wire_names.HISTORY_PATH))["versions"]:
+            at = datetime.fromtimestamp(row["at"], timezone.utc).isoformat()
+            print(f"{row[wire_names.SPEC_NUMBER]} {at} {row['commit']}")
+        return _FINE
+    texts = [
+        json.dumps(await _ask(wire_names.VERSION_PATH.format(word)), indent=2, sort_keys=True)
+        for word in words[1:]]
+    if words[0] == "show":
+        print(texts[0])
+        return _FINE
+    lines = list(difflib.unified_diff(
+        texts[0].splitlines(), texts[1].splitlines(), words[1], words[2], lineterm=""))
+    print("\n".join(lines), end="\n" if lines else "")
+    return _DIFFERENT if lines else _FINE
+
+
+async def _ask(path: str) -> dict:
+    status, document = await ask_one(FLAGS.registry, path)
+    if status != 200:
+        raise Breakdown("history", f"status {status}: {document.get(wire_names.REASON, '')}")
+    return document
--- /dev/null
+++ b/marblefold/history/versions.py
@@ -0,0 +1,132 @@
+"""The configurations that were acknowledged, in a Git object store on disk.
+
+Best effort and bounded: it is never asked before an acknowledgement, and the
+stores' registers are what holds.  One that is damaged is put aside and begun
+anew.
+"""
+
+import json
+import os
+import shutil
+import time
+from typing import Iterator, NamedTuple
+
+from dulwich.objects import Blob, Commit, Tree
+from dulwich.repo import Repo
+
+from marblefold.breakdowns import Breakdown
+
+__all__ = ["Version", "Versions"]
+
+_BRANCH = b"refs/heads/specs"
+_FILE = b"spec.json"
+_WHO = b"marblefold <marblefold@localhost>"
+_REGULAR = 0o100644
+
+
+class Version(NamedTuple):
+    """One configuration that was acknowledged."""
+
+    number: int
+    at: int
+    commit: str
+
+
+class Versions:
+    """Blocking: to be used from a thread of its own."""
+
+    def __init__(self, folder: str, most: int = 200) -> None:
+        self._folder = folder
+        self._most = most
+        self._repo: Repo | None = None
+        # Why the history before was put aside, if it was.
+        self.damage = ""
+
+    def open(self) -> None:
+        """Opens the store, or begins one; what cannot be read is put aside."""
+        os.makedirs(os.path.dirname(self._folder) or ".", exist_ok=True)
+        if os.path.exists(self._folder):
+            try:
+                self._repo = Repo(self._folder)
+                self._check()
+                return
+            except Exception as error:
+                # Torn objects make the library raise almost anything.
+                self.damage = f"{type(error).__name__}: {error}"
+                self._put_aside()
+        self._repo = Repo.init_bare(self._folder, mkdir=True)
+
+    def add(self, number: int, body: bytes) -> bool:
+        """Keeps a configuration; one that is not above the newest is there already."""
+        newest = next(self.newest_first(), None)
+        if newest is not None and newest.number >= number:
+            return False
+        self._commit(number, body, int(time.time()), newest.commit if newest else "")
+        # Rewritten at twice the bound, so that it seldom is.
+        if sum(1 for _version in self.newest_first()) > 2 * self._most:
+            self._forget_old()
+        return True
+
+    def newest_first(self) -> Iterator[Version]:
+        """The versions kept."""
+        commit_id = self._repo.refs.read_ref(_BRANCH)
+        while commit_id:
+            commit = self._repo[commit_id]
+            number = int(commit.message.decode().removeprefix("spec "))
+            yield Version(number, commit.commit_time, commit.id.decode())
+            commit_id = commit.parents[0] if commit.parents else None
+
+    def read(self, number: int) -> bytes:
+        """A version as it was put; a Breakdown where it is not kept."""
+        for version in self.newest_first():
+            if version.number == number:
+                tree = self._repo[self._repo[version.commit.encode()].tree]
+                return self._repo[tree[_FILE][1]].data
+        raise Breakdown("history", f"version {number} is not kept")
+
+    def _commit(self, number: int, body: bytes, at: int, parent: str) -> None:
+        objects = self._repo.object_store
+        blob = Blob.from_string(body)
+        objects.add_object(blob)
+        tree = Tree()
+        tree.add(_FILE, _REGULAR, blob.id)
+        objects.add_object(tree)
+        commit = Commit()
+        commit.tree = tree.id
+        commit.parents = [parent.encode()] if parent else []
+        commit.author = commit.committer = _WHO
+        commit.author_time = commit.commit_time = at
+        commit.author_timezone = commit.commit_timezone = 0
+        commit.encoding = b"UTF-8"
+        commit.message = f"spec {number}".encode()
+        objects.add_object(commit)
+        self._repo.refs[_BRANCH] = commit.id
+
+    def _check(self) -> None:
+        """Reads what is newest: a torn one shows here, and not when it is wanted."""
+        for version in self.newest_first():
+            json.loads(self.read(version.number))
+
+    def _forget_old(self) -> None:
+        kept = list(self.newest_first())[:self._most]
+        bodies = [(version, self.read(version.number)) for version in reversed(kept)]
+        fresh = self._folder + ".new"
+        shutil.rmtree(fresh, ignore_errors=True)
+        self._repo.close()
+        self._repo = Repo.init_bare(fresh, mkdir=True)
+        parent = ""
+        for version, body in bodies:
+            self._commit(version.number, body, version.at, parent)
+            parent = self._repo.refs[_BRANCH].decode()
+        self._repo.close()
+        old = self._folder + ".old"
+        shutil.rmtree(old, ignore_errors=True)
+        os.rename(self._folder, old)
+        os.rename(fresh, self._folder)
+        shutil.rmtree(old, ignore_errors=True)
+        self._repo = Repo(self._folder)
+
+    def _put_aside(self) -> None:
+        aside = self._folder + ".damaged"
+        shutil.rmtree(aside, ignore_errors=True)
+        os.rename(self._folder, aside)
--- a/marblefold/program_flags.py
+++ b/marblefold/program_flags.py
@@ -6,7 +6,7 @@
 from absl import flags
 
 __all__ = [
-    "TraceOptions", "read_collected_spans", "read_trace_options", "read_traffic_period"]
+    "TraceOptions", "is_history_on", "read_collected_spans", "read_trace_options", "read_traffic_period"]
 
 FLAGS = flags.FLAGS
 flags.DEFINE_bool("trace", False, "Record the steps of requests and keep those worth it.")
@@ -29,6 +29,8 @@
     "traffic_notice_s", 10.0, "Seconds between the counts that a node tells; 0 tells none.",
     lower_bound=0.0, upper_bound=600.0)
 
+flags.DEFINE_bool("history", False, "Keep acknowledged specs in a Git object store, at registries.")
+
 
 class TraceOptions(NamedTuple):
     """How much is recorded, kept and sent."""
@@ -57,3 +59,8 @@
 def read_traffic_period() -> timedelta:
     """How often a node tells what it counted; zero where it does not."""
     return timedelta(seconds=FLAGS.traffic_notice_s if FLAGS.is_parsed() else 10.0)
+
+
+def is_history_on() -> bool:
+    """Whether a registry keeps the specs that were acknowledged."""
+    return FLAGS.is_parsed() and FLAGS.history
--- a/marblefold/registry/program.py
+++ b/marblefold/registry/program.py
@@ -7,6 +7,7 @@
 from datetime import timedelta
 
 from marblefold.http_streams.call_router import CallRouter
+from marblefold.history.keeper import HistoryKeeper
 from marblefold.http_streams.downstream_server import DownstreamServer
 from marblefold.inner_protocol.exchange import Exchange
 from marblefold.inner_protocol.frames import FrameKind
@@ -37,7 +38,7 @@
 from marblefold.task_keeper import TaskKeeper
 from marblefold.tracing.calls import TraceCalls
 from marblefold.tracing.collector import Collector
-from marblefold.program_flags import read_collected_spans
+from marblefold.program_flags import is_history_on, read_collected_spans
 
 __all__ = ["RegistryProgram"]
 
@@ -73,6 +74,8 @@
         calls = CallRouter()
         TraceCalls(self._collector, time.time).add_to(calls)
         self._traffic = TrafficBook()
+        self._history = HistoryKeeper(config.data_directory if is_history_on() else "")
+        self._history.add_to(calls)
         RehearsalCalls(self.words, self._describe_parts).add_to(calls)
         self._sites.add_to(calls)
         MaintenanceCalls(self.words, self._zones, capacity.all_slots).add_to(calls)
@@ -97,6 +100,7 @@
         for run in (
             self._watch.run(), self.words.run(), self.feed.run(), self._control.run(),
             self._membership.run(), self.maintenance.run(), *self._extra_runs,
+            self._history.run(),
             *self._sites.runs(),
         ):
             tasks.start(run)
@@ -166,6 +170,7 @@
     def _on_word(self, word: HeldWord) -> None:
         """A word holds: bring it to all followers."""
         if word.register == "spec":
+            self._history.take(word.number, word.value)
             self.catalogue.put(kinds.Entry(
                 kind="spec", key="spec", number=word.number,
                 value=lay_out(read_spec(word.value))))
--- a/marblefold/wire_names.py
+++ b/marblefold/wire_names.py
@@ -72,6 +72,8 @@
 DOUBLES_PATH = "/mesh/doubles"
 SNAPSHOT_PATH = "/mesh/snapshot"
 REHEARSAL_PATH = "/mesh/rehearsal"
+HISTORY_PATH = "/mesh/history"
+VERSION_PATH = "/mesh/history/{}"
 
 # Headers.
 ATTEMPT_ID = b"Attempt-Id"
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -7,6 +7,7 @@
 import yaml
 
 from marblefold import wire_names
+from marblefold.history.keeper import HistoryKeeper
 from marblefold.http_streams.call_router import CallRouter
 from marblefold.maintenance.calls import MaintenanceCalls
 from marblefold.operator_spec import model
@@ -43,6 +44,7 @@
     OwnerCalls(None, None).add_to(router)
     TraceCalls(None, None).add_to(router)
     RehearsalCalls(None, dict).add_to(router)
+    HistoryKeeper("").add_to(router)
     served = router.calls | {wire_names.READINESS_CALL}
     described = set()
     for path, operations in API["paths"].items():
@@ -56,6 +58,7 @@
         call for call in described
         if call[1].split("/")[2] in (
             "maintenance", "partners", "exports", "owners", "traces", "doubles", "snapshot",
+            "history",
             "rehearsal")}
 
 
