--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -121,3 +121,44 @@
     wants.repeat(11.0)
     wants.hear("a", entry, 12.0)
     assert asked[-1] == "b"
+
+
+def test_many_followers_are_sent_one_payload_and_pushes_are_spaced_by_their_number():
+    catalogue, waits, pushes, counted = Catalogue(7), [], [], []
+    keeper = FeedKeeper(
+        catalogue, lambda: True, lambda: counted.append(1) or 3,
+        soon=lambda wait, push: (waits.append(wait), pushes.append(push)))
+    wires = []
+    for _ in range(200):
+        wire = type("Wire", (), {})()
+        wire.sent = []
+        wire.send = lambda _kind, _number, payload, wire=wire: wire.sent.append(payload)
+        keeper.follow(wire, kinds.Follow())
+        wires.append(wire)
+    counted.clear()
+    for number in range(1, 51):
+        catalogue.put(make_entry(f"zone-{number}", number, b"on"))
+    # All changes wait for one push.
+    assert len(pushes) == 1
+    pushes.pop()()
+    assert all(len(wire.sent) == 2 for wire in wires)
+    assert len({id(wire.sent[1]) for wire in wires}) == 1 and len(counted) == 1
+    feed = unpack_message(wires[0].sent[1])
+    assert feed.place == 50 and not feed.entries and feed.compressed_entries
+    assert len(wires[0].sent[1]) < 50 * 20
+    # The next one is due no sooner than what 200 followers take.
+    catalogue.put(make_entry("late", 1, b"on"))
+    assert 0.05 < waits[-1] <= 0.2
+    # Between pushes a sign of life goes to whoever is not behind.
+    assert len(wires[0].sent) == 2
+
+
+@given(st.integers(0, 30), st.integers(1, 60))
+def test_the_changes_behind_a_place_are_those_of_the_plain_list(place, count):
+    catalogue, plain = Catalogue(7), []
+    for number in range(1, count + 1):
+        entry = make_entry(f"z{number % 7}", number, b"on")
+        catalogue.put(entry)
+        plain.append(entry)
+    found = catalogue.changes_since(7, place)
+    assert found is None if place > count else found == plain[place:]
