Ask busy targets again before lost ones when too many are passed over

Cause, found by a rehearsal that told fewer stalls than happened: with two zones of five dark and the rest near full, refusals took the passed-over above half of the service, and then all were nominated again, the dark ones too; hops waited for connections that do not come up.

--- a/marblefold/request_path/nomination.py
+++ b/marblefold/request_path/nomination.py
@@ -62,7 +62,8 @@
     ) -> Nominee | None:
         """The target for the next hop, or None if there is none to be had."""
         preferred: list[KnownTarget] = []
-        shunned: list[KnownTarget] = []
+        busy: list[KnownTarget] = []
+        unreachable: list[KnownTarget] = []
         ending: list[KnownTarget] = []
         owner = self._view.owners.get(upstream)
         for target in self._view.targets(upstream):
@@ -73,17 +74,24 @@
             if is_last_resort(target):
                 if self._has_guards:
                     ending.append(target)
-            elif self._is_doubtful(target, now):
-                shunned.append(target)
+            elif self._is_unreachable(target, now):
+                unreachable.append(target)
+            elif now < self._record(target.node).refused_until:
+                busy.append(target)
             else:
                 preferred.append(target)
-        # One that is busy is still better than one about to end.
-        candidates = preferred or shunned or ending
+        # One that is busy is still better than one that may be dark, and that
+        # than one about to end.
+        candidates = preferred or busy or unreachable or ending
         if not candidates:
             return None
-        if candidates is preferred and len(shunned) > _MOST_SHUNNED * (
-                len(shunned) + len(preferred)):
-            candidates = preferred + shunned
+        most = _MOST_SHUNNED * (len(preferred) + len(busy) + len(unreachable))
+        if preferred and len(busy) + len(unreachable) > most:
+            # Those that were busy are asked again before those that are lost:
+            # where a zone is dark and the rest is full, the dark are no help.
+            candidates = preferred + busy
+        if candidates is not ending and len(unreachable) > most:
+            candidates = preferred + busy + unreachable
         surcharge = min(_MOST_ZONE_SURCHARGE, kilobytes * _ZONE_SURCHARGE_PER_KILOBYTE)
         best = min(
             self._draw(candidates),
@@ -125,12 +133,11 @@
         """The guard does not want more before that time."""
         self._record(target.node).refused_until = until
 
-    def _is_doubtful(self, target: KnownTarget, now: float) -> bool:
+    def _is_unreachable(self, target: KnownTarget, now: float) -> bool:
         record = self._record(target.node)
         return (
             target.node in self._view.suspects
             or now < record.broken_until
-            or now < record.refused_until
             or now < self._silent_until.get(target.peer, 0.0)
         )
 
--- a/tests/test_nomination.py
+++ b/tests/test_nomination.py
@@ -115,3 +115,20 @@
         targets[0] = targets[0]._replace(is_draining=True)
         nominee = nominator.nominate("quotes", (), None, 1.0, 1.0)
         assert (nominee is not None) == has_guards
+
+
+def test_where_many_are_dark_and_the_rest_is_busy_the_busy_are_asked_again():
+    nominator, targets = make_nominator(10)
+    for target in targets[:4]:
+        nominator._view.suspects.add(target.node)
+    for target in targets[4:8]:
+        nominator.note_refusal(target, 5.0)
+    # Eight of ten are passed over, which is too many; the dark are still no help.
+    assert not set(shares(nominator, 1.0)) & {"t0", "t1", "t2", "t3"}
+    for target in targets[8:]:
+        nominator.note_refusal(target, 5.0)
+    assert not set(shares(nominator, 1.0)) & {"t0", "t1", "t2", "t3"}
+    # With most of them thought dark, that thought is not believed.
+    for target in targets[4:7]:
+        nominator._view.suspects.add(target.node)
+    assert set(shares(nominator, 1.0)) & {"t0", "t1", "t2", "t3"}
