--- a/marblefold/inner_protocol/exchange.py
+++ b/marblefold/inner_protocol/exchange.py
@@ -51,13 +51,17 @@
 
     async def send_body(self, chunk: bytes) -> None:
         """Sends a part of the body, within the peer's credit."""
-        for place in range(0, len(chunk), _CHUNK):
-            part = chunk[place:place + _CHUNK]
+        rest = memoryview(chunk)
+        while rest:
             while self._credit <= 0 and self.broken is None:
                 self._credit_waiter = asyncio.get_running_loop().create_future()
                 await self._credit_waiter
             if self.broken is not None:
                 raise self.broken
+            # Never beyond the credit: the peer counts on it for its link, where
+            # what overshoots stands before every other hop.
+            part = bytes(rest[:min(_CHUNK, self._credit)])
+            rest = rest[len(part):]
             self._credit -= len(part)
             self.stream.send(FrameKind.BODY, self.number, part)
             await self.stream.drain()
--- a/marblefold/request_path/intake.py
+++ b/marblefold/request_path/intake.py
@@ -13,10 +13,12 @@
 
 __all__ = ["Intake"]
 
-# What one body may have on its way before the guard has taken it.
-_WINDOW = 24 * 1024
+# What one body may have on its way before the guard has taken it: what the link
+# carries in this time, for other hops wait behind it.
+_WINDOW_SECONDS = 0.05
+_LEAST_WINDOW, _MOST_WINDOW = 8 * 1024, 64 * 1024
 # What all of them together may keep the link busy for.
-_LINK_SECONDS = 0.2
+_LINK_SECONDS = 0.1
 _FEWEST, _MOST = 2, 64
 # A body whose sender is slow does not hold up the others for longer.
 _LONGEST_WAIT = 1.0
@@ -31,7 +33,9 @@
 
     def __init__(self, link_bytes_per_second: float) -> None:
         self._link_bytes_per_second = max(1.0, link_bytes_per_second)
-        places = int(link_bytes_per_second * _LINK_SECONDS / _WINDOW)
+        self._window = int(max(_LEAST_WINDOW, min(
+            _MOST_WINDOW, link_bytes_per_second * _WINDOW_SECONDS)))
+        places = int(link_bytes_per_second * _LINK_SECONDS / self._window)
         self._places = asyncio.Semaphore(max(_FEWEST, min(_MOST, places)))
         self.waiting = 0
 
@@ -43,14 +47,14 @@
         usual = _TIMES_USUAL * max(0, head.body_length) / self._link_bytes_per_second
         seconds = min(seconds, max(patience, usual))
         if not 0 <= head.body_length <= _LARGEST_HELD:
-            exchange.grant(_WINDOW)
+            exchange.grant(self._window)
             return ""
         self.waiting += 1
         has_place = False
         try:
             async with asyncio.timeout(seconds):
                 has_place = await self._enter()
-                exchange.grant(_WINDOW)
+                exchange.grant(self._window)
                 parts = [head.body]
                 while chunk := await exchange.incoming.read():
                     parts.append(chunk)
--- a/tests/test_guard_parts.py
+++ b/tests/test_guard_parts.py
@@ -8,6 +8,7 @@
 
 from marblefold.breakdowns import Breakdown
 from marblefold.inner_protocol.body_pipe import BodyPipe
+from marblefold.inner_protocol.exchange import Exchange
 from marblefold.inner_protocol.messages import kinds
 from marblefold.request_path.cold_limit import ColdLimit
 from marblefold.request_path.intake import Intake
@@ -149,6 +150,61 @@
         self.incoming.finish()
 
 
+class SentFrames:
+    """A connection that keeps what is sent on it."""
+
+    peer = "p"
+
+    def __init__(self):
+        self.sent = []
+
+    def send(self, kind, _number, payload=b""):
+        self.sent.append((kind, payload))
+
+    async def drain(self):
+        pass
+
+
+@given(grants=st.lists(st.integers(1, 90_000), max_size=12), size=st.integers(1, 200_000))
+def test_no_body_is_sent_beyond_its_credit(grants, size):
+    body = bytes(range(256)) * (size // 256) + b"e" * (size % 256)
+
+    async def test():
+        connection = SentFrames()
+        exchange = Exchange(connection, 1, 0)
+        sender = asyncio.ensure_future(exchange.send_body(body))
+        granted = 0
+        for grant in [0, *grants]:
+            granted += grant
+            if grant:
+                exchange.take_credit(grant)
+            for _step in range(6):
+                await asyncio.sleep(0)
+            sent = b"".join(payload for _kind, payload in connection.sent)
+            assert sent == body[:granted]
+        assert sender.done() == (granted >= size)
+        sender.cancel()
+    asyncio.run(test())
+
+
+def test_what_bodies_keep_a_link_busy_for_is_bounded():
+    async def test(link):
+        intake = Intake(link)
+        exchanges = [BodyExchange(b"") for _ in range(100)]
+        tasks = [asyncio.ensure_future(intake.take(
+            exchange, kinds.RequestHead(body_follows=True, body_length=60_000), 30.0))
+            for exchange in exchanges]
+        for _step in range(3):
+            await asyncio.sleep(0)
+        granted = [exchange.granted for exchange in exchanges if exchange.granted]
+        for task in tasks:
+            task.cancel()
+        # Two windows, or what the link carries in a tenth of a second.
+        assert sum(granted) <= max(2 * 8 * 1024, 0.1 * link) and granted
+    for link in (20_000.0, 250_000.0, 2.5e6, 1.25e8):
+        asyncio.run(test(link))
+
+
 def test_bodies_come_in_a_few_at_a_time_and_only_whole():
     async def test():
         intake = Intake(1000.0)
