Let calls within runs ask for a free slot before they queue

Cause: a run holds its slot while its calls wait in another service's queue; of hundreds of targets a node knows the load of few.

--- a/marblefold/rehearsal/flight.py
+++ b/marblefold/rehearsal/flight.py
@@ -9,7 +9,7 @@
 from marblefold.rehearsal.origins import Origin
 from marblefold.rehearsal.tally import Ending
 from marblefold.request_path.decision import Conclude, Offer, RequestDecision
-from marblefold.request_path.outcome import HopOutcome, HopResult
+from marblefold.request_path.outcome import NO_SLOT, HopOutcome, HopResult
 from marblefold.request_path.slot_queue import Turn
 from marblefold.request_path.upstream_limits import find_cold_most
 
@@ -94,13 +94,13 @@
         turn = Turn(1 + max(0, self._mapping.priority), end)
         number = guard.take(turn, offer.queue_seconds, lambda: self._start(hop))
         if number is None:
-            self._refuse("no slot in time", max(_REFUSED_RETRY, guard.expected_wait(turn)))
+            self._refuse(NO_SLOT, max(_REFUSED_RETRY, guard.expected_wait(turn)))
         elif number >= 0:
             play.after(offer.queue_seconds, lambda: self._leave_queue(hop, guard, number))
 
     def _leave_queue(self, hop: int, guard: RehearsedGuard, number: int) -> None:
         if guard.leave(number) and hop == self._hop:
-            self._refuse("no slot in time", _REFUSED_RETRY)
+            self._refuse(NO_SLOT, _REFUSED_RETRY)
 
     def _start(self, hop: int) -> None:
         """A slot was had."""
--- a/marblefold/rehearsal/forecast.py
+++ b/marblefold/rehearsal/forecast.py
@@ -9,6 +9,7 @@
 from marblefold.rehearsal.snapshot import Snapshot
 from marblefold.rehearsal.tally import Phase, Row, Tally
 from marblefold.request_path.eligibility import is_eligible
+from marblefold.request_path.outcome import NO_SLOT
 from marblefold.terms.held_terms import TERM_SECONDS
 
 __all__ = ["Capacity", "Control", "Forecast", "Kind", "find_lost", "rehearse", "rehearse_slowly"]
@@ -179,7 +180,7 @@
     left = [target for target in snapshot.facts.targets
             if target.upstream == upstream and target.zone not in lost]
     owner = snapshot.owners.get(upstream)
-    if step == "no slot in time":
+    if step == NO_SLOT:
         return "capacity short"
     if not left:
         return "no target left"
--- a/marblefold/request_path/decision.py
+++ b/marblefold/request_path/decision.py
@@ -11,7 +11,7 @@
 from marblefold.operator_spec.rows import Mapping
 from marblefold.request_path.mesh_view import KnownTarget
 from marblefold.request_path.nomination import Nominee
-from marblefold.request_path.outcome import HopOutcome, HopResult
+from marblefold.request_path.outcome import NO_SLOT, HopOutcome, HopResult
 
 __all__ = ["Conclude", "Facts", "Offer", "RequestDecision"]
 
@@ -25,6 +25,11 @@
 _QUEUE_CALL_SHARE = 0.6
 # Guards that turn a hop away cost little; still the search must end.
 _MOST_REFUSED_HOPS = 4
+# One node of hundreds sees a given target once in many seconds: what it knows of
+# its load is old. The guard knows: the first hops of a call within a run, which
+# holds a slot elsewhere while it waits, ask for a slot that is free now, and
+# only the next one joins a queue.
+_HOPS_WITHOUT_QUEUE = 2
 _RETRY_WHEN_NO_TARGET = 0.25
 _RETRY_AT_LEAST = 0.05
 
@@ -76,12 +81,16 @@
         self._aim = max(0.02, mapping.target_latency.total_seconds())
         self._queue_end = arrived + (
             _QUEUE_CALL_SHARE * (deadline - arrived) if is_call else _QUEUE_AIM_SHARE * self._aim)
+        self._is_call = is_call
         self._is_repeatable = mapping.kind == wire_names.READ_ONLY
         self._is_replayable = is_replayable
         self._kilobytes = kilobytes
         self._offered = 0
         self._refused_hops = 0
         self._tried: set[str] = set()
+        # Targets asked for a free slot that had none; each may still be queued at.
+        self._asked: set[str] = set()
+        self._is_asking = False
         self._may_have_run = False
         self._last: HopResult | None = None
 
@@ -98,7 +107,8 @@
     def note(self, target: KnownTarget, result: HopResult) -> None:
         """Takes in how a hop ended."""
         self._last = result
-        self._tried.add(target.instance)
+        is_merely_full = self._is_asking and result.step == NO_SLOT
+        (self._asked if is_merely_full else self._tried).add(target.instance)
         if result.outcome is HopOutcome.NEVER_OFFERED:
             self._refused_hops += 1
             return
@@ -123,16 +133,28 @@
         passage = self._facts.ask_breaker(self.upstream, now)
         if not passage.allowed:
             return self._give_up("breaker", now, passage.retry_after)
-        nominee = self._facts.nominate(
-            self.upstream, self._tried, self._mapping.home_regions,
-            self._kilobytes, now)
+        nominee = self._nominate(now)
         if nominee is None:
             return self._give_up("nominate", now)
+        queue = max(0.0, min(self._queue_end - now, left))
         return Offer(
-            nominee.target, left, max(0.0, min(self._queue_end - now, left)),
+            nominee.target, left, 0.0 if self._is_asking else queue,
             self._arrived + self._aim - now, self._offered + 1, nominee.is_last_resort,
         )
 
+    def _nominate(self, now: float) -> Nominee | None:
+        """The next target, and whether it is asked for a free slot or queued at."""
+        self._is_asking = self._is_call and self._refused_hops < _HOPS_WITHOUT_QUEUE
+        tried = self._tried | self._asked if self._is_asking else self._tried
+        nominee = self._facts.nominate(
+            self.upstream, tried, self._mapping.home_regions, self._kilobytes, now)
+        if nominee is None and self._is_asking and self._asked:
+            # All that there are were asked: wait at one of them.
+            self._is_asking = False
+            nominee = self._facts.nominate(
+                self.upstream, self._tried, self._mapping.home_regions, self._kilobytes, now)
+        return nominee
+
     def _judge_last(self, now: float) -> Conclude | None:
         """The end of the request, if the last hop brought it."""
         last = self._last
--- a/marblefold/request_path/guard.py
+++ b/marblefold/request_path/guard.py
@@ -18,7 +18,7 @@
 from marblefold.request_path.local_target import LocalTarget, TargetState
 from marblefold.request_path.mesh_view import MeshView
 from marblefold.request_path.offered_hops import OfferedHops
-from marblefold.request_path.outcome import HopOutcome
+from marblefold.request_path.outcome import NO_SLOT, HopOutcome
 from marblefold.request_path.running_work import Run, RunningWork
 from marblefold.request_path.slot_queue import SlotQueue, Turn
 from marblefold.request_path.target_caller import TargetCaller
@@ -148,7 +148,7 @@
                 return _refuse(step, _REFUSED_RETRY_SECONDS)
         if not await self.slots.take(turn, longest):
             wait = max(_REFUSED_RETRY_SECONDS, self.slots.expected_wait(turn))
-            return _refuse("no slot in time", wait)
+            return _refuse(NO_SLOT, wait)
         started = time.monotonic()
         run = Run(head.attempt_id, head.repeat_run or head.attempt_number > 1, span)
         if span is not None:
--- a/marblefold/request_path/outcome.py
+++ b/marblefold/request_path/outcome.py
@@ -5,7 +5,10 @@
 
 from marblefold.http_streams.answer import Answer
 
-__all__ = ["HopOutcome", "HopResult", "Pressure"]
+__all__ = ["HopOutcome", "HopResult", "NO_SLOT", "Pressure"]
+
+# The step of a hop that was turned away for want of a slot, and of nothing else.
+NO_SLOT = "no slot in time"
 
 
 class HopOutcome(enum.IntEnum):
--- a/tests/simulated_region.py
+++ b/tests/simulated_region.py
@@ -25,7 +25,7 @@
 from marblefold.request_path.executor import RequestExecutor
 from marblefold.request_path.mesh_view import KnownOwner, MeshView
 from marblefold.request_path.nomination import Nominator
-from marblefold.request_path.outcome import HopOutcome, HopResult, Pressure
+from marblefold.request_path.outcome import NO_SLOT, HopOutcome, HopResult, Pressure
 from marblefold.request_path.running_work import RunningWork
 from marblefold.request_path.slot_queue import SlotQueue, Turn
 from marblefold.request_path.surroundings import Surroundings
@@ -239,7 +239,7 @@
             return refused("another owner")
         turn = Turn(head.priority, time.monotonic() + head.aim_left_ms / 1000)
         if not await queue.take(turn, head.queue_left_ms / 1000):
-            return refused("no slot in time")
+            return refused(NO_SLOT)
         try:
             if not mesh.colds[row["node"]].may_offer(time.monotonic(), 4.0 * 1.5 + 5.0 - 2):
                 return refused("cold")
--- a/tests/test_decision.py
+++ b/tests/test_decision.py
@@ -11,7 +11,7 @@
 from marblefold.request_path.decision import Conclude, Offer, RequestDecision
 from marblefold.request_path.mesh_view import KnownTarget
 from marblefold.request_path.nomination import Nominee
-from marblefold.request_path.outcome import HopOutcome, HopResult
+from marblefold.request_path.outcome import NO_SLOT, HopOutcome, HopResult
 from marblefold.request_path.running_work import Run, RunningWork
 
 PROMISES = (408, 421, 429, 503)
@@ -112,6 +112,40 @@
     assert decision.next_step(0.11).answer.status == 503
 
 
+def ask_until_queued(decision):
+    """The targets that were asked for a free slot and had none, and the offer that waits."""
+    asked = []
+    while (offer := decision.next_step(0.0)).queue_seconds == 0.0:
+        asked.append(offer.target)
+        decision.note(offer.target, HopResult(HopOutcome.NEVER_OFFERED, step=NO_SLOT))
+    return asked, offer
+
+
+def test_free_slots_are_asked_for_before_a_queue_is_joined():
+    asked, offer = ask_until_queued(make_decision("read_only", Facts(), is_call=True))
+    assert len(asked) == 2 and abs(offer.queue_seconds - 1.2) < 1e-9
+    # What holds no slot elsewhere waits where it was sent first.
+    asked, offer = ask_until_queued(make_decision("read_only", Facts()))
+    assert not asked and abs(offer.queue_seconds - 0.08) < 1e-9
+
+
+def test_where_all_were_asked_one_of_them_is_waited_at():
+    class Two(Facts):
+        def nominate(self, upstream, tried, homes, kilobytes, now):
+            left = [make_target(n) for n in (1, 2) if f"i-{n}" not in tried]
+            return Nominee(left[0], False) if left else None
+
+    asked, offer = ask_until_queued(make_decision("mutating", Two(), is_call=True))
+    assert [target.node for target in asked] == ["node-1", "node-2"]
+    assert offer.target in asked and offer.queue_seconds > 0
+    # One that turned it away for another reason is not gone back to.
+    decision = make_decision("mutating", Two(), is_call=True)
+    decision.note(decision.next_step(0.0).target, HopResult(
+        HopOutcome.NEVER_OFFERED, step="draining"))
+    asked, offer = ask_until_queued(decision)
+    assert [target.node for target in asked] == ["node-2"] and offer.target.node == "node-2"
+
+
 def test_a_failed_answer_of_a_target_is_passed_on_when_no_more_may_be_tried():
     decision = make_decision("read_only", Facts(budget=False))
     decision.note(decision.next_step(0.0).target, result(HopOutcome.ANSWERED, 500))
@@ -119,7 +153,7 @@
 
 
 def test_a_call_in_the_midst_of_a_run_may_wait_longer_for_a_slot():
-    offer = make_decision("read_only", Facts(), is_call=True).next_step(0.0)
+    _asked, offer = ask_until_queued(make_decision("read_only", Facts(), is_call=True))
     assert abs(offer.queue_seconds - 1.2) < 1e-9
 
 
