--- a/tests/test_guard_parts.py
+++ b/tests/test_guard_parts.py
@@ -165,6 +165,7 @@
         pass
 
 
+@settings(deadline=None)
 @given(grants=st.lists(st.integers(1, 90_000), max_size=12), size=st.integers(1, 200_000))
 def test_no_body_is_sent_beyond_its_credit(grants, size):
     body = bytes(range(256)) * (size // 256) + b"e" * (size % 256)
