--- a/marblefold/tracing/collector.py
+++ b/marblefold/tracing/collector.py
@@ -5,6 +5,7 @@
 """
 
 import itertools
+import zlib
 from typing import Iterator, NamedTuple
 
 from marblefold.inner_protocol.messages import kinds
@@ -56,7 +57,7 @@
         for trace_id in batch.shed:
             self._drop(trace_id)
             self._remember_shed(trace_id)
-        for span in batch.spans:
+        for span in _expand(batch):
             if span.trace_id not in self._shed:
                 self._put(batch, span)
         while self.spans > self.most_spans:
@@ -145,6 +146,13 @@
         self.digests: list[bytes] = []
 
 
+def _expand(batch: kinds.SpanBatch) -> list[kinds.Span]:
+    """The spans of a batch, however they were sent."""
+    if not batch.compressed_spans:
+        return list(batch.spans)
+    return list(kinds.SpanBatch.FromString(zlib.decompress(batch.compressed_spans)).spans)
+
+
 def _read(row: tuple[str, str, str, bytes]) -> CollectedSpan:
     node, zone, address, packed = row
     return CollectedSpan(node, zone, address, kinds.Span.FromString(packed))
--- a/marblefold/tracing/exporter.py
+++ b/marblefold/tracing/exporter.py
@@ -22,7 +22,9 @@
 class ExporterConfig(NamedTuple):
     """How much leaves this node."""
 
-    every: timedelta = timedelta(seconds=1)
+    # Batches of several seconds are fewer and compress better.
+    every: timedelta = timedelta(seconds=3)
+    # A second, at the most.
     spans: int = 64
 
 
@@ -60,7 +62,8 @@
 
     def export(self, epoch_offset: float) -> None:
         """Sends what is due to whoever takes it."""
-        batch = self._recorder.take_batch(self._config.spans)
+        batch = self._recorder.take_batch(
+            int(self._config.spans * self._config.every.total_seconds()))
         if not batch.spans and not batch.shed:
             return
         registries = self._registries()
@@ -82,7 +85,7 @@
             for registry in registries:
                 part(registry).shed.append(trace_id)
         taken = {registry for registry, message in parts.items()
-                 if self._send(registry, message)}
+                 if self._send(registry, _compress(message))}
         self._give_back(batch, taken, registries)
 
     def _give_back(self, batch: Batch, taken: set[str], registries: Collection[str]) -> None:
@@ -95,6 +98,15 @@
             self._recorder.give_back(Batch(untaken, shed))
 
 
+def _compress(message: kinds.SpanBatch) -> kinds.SpanBatch:
+    """Spans are much alike, and links that carry requests are narrow."""
+    if message.spans:
+        message.compressed_spans = zlib.compress(
+            kinds.SpanBatch(spans=message.spans).SerializeToString(), 6)
+        del message.spans[:]
+    return message
+
+
 def _find_collectors(span: Span, registries: Collection[str]) -> list[str]:
     found = rank_collectors(span.trace_id, registries)[:_COPIES]
     if span.digest:
--- a/tests/simulated_tracing.py
+++ b/tests/simulated_tracing.py
@@ -1,6 +1,7 @@
 """Many nodes that trace, without sockets: real tracers, recorders and collectors."""
 
 import random
+from datetime import timedelta
 import time
 from types import SimpleNamespace
 
@@ -33,7 +34,9 @@
         self.tracer = Tracer(self.recorder, self.settings, self.name, self.network.chance.random())
         self.exporter = Exporter(
             self.recorder, self.name, "hall", self.name, lambda: list(self.network.collectors),
-            self.send, ExporterConfig(spans=self.network.batch))
+            self.send,
+            # As little at a time as the network says, so that outboxes fill.
+            ExporterConfig(timedelta(seconds=1), self.network.batch))
 
     def on_mark(self, trace_id, peers):
         self.network.marks.extend((peer, trace_id) for peer in peers if peer != self.name)
--- a/tests/test_tracing.py
+++ b/tests/test_tracing.py
@@ -1,5 +1,6 @@
 """Tracing: kept at every node that a request touched, or at none; bounded."""
 
+import random
 import time
 from types import SimpleNamespace
 
@@ -11,6 +12,7 @@
 from marblefold.tracing.collector import Collector
 from marblefold.tracing.context import (
     Keep, TraceContext, format_traceparent, keep_of, parse_traceparent, shed_order)
+from marblefold.tracing.exporter import Exporter
 from marblefold.tracing.recorder import Recorder, RecorderConfig
 from marblefold.tracing.span import Span, SpanKind, pack_span
 from marblefold.tracing.tracer import Tracer, TraceSettings
@@ -194,6 +196,34 @@
     assert marked > len(held) / 2 and collector.dropped == 200 and collector.lost == {"n": 2}
 
 
+def test_a_batch_is_sent_small_and_comes_out_whole():
+    recorder, sent = Recorder(), {}
+    exporter = Exporter(recorder, "n", "hall", "10.0.0.1:7620", lambda: ["r1", "r2", "r3"],
+                        lambda registry, batch: sent.setdefault(registry, batch) is batch)
+    spans = []
+    for number in range(24):
+        span = make_span(random.Random(number).randbytes(16), Keep.ORDER, number)
+        span.mapping, span.upstream, span.target = "r-n2ctnfz", "huvo11a", f"i-{number % 5:010x}"
+        span.peer = f"10.2.0.{number % 5}:7620"
+        spans.append(span)
+        recorder.begin(span)
+        recorder.finish(span, float(number))
+    exporter.export(1e9)
+    plain = sum(len(pack_span(span, 1e9).SerializeToString()) for span in spans)
+    copies = 2 * plain
+    assert 0 < sum(batch.ByteSize() for batch in sent.values()) < 0.75 * copies
+    held = {}
+    for registry, batch in sent.items():
+        collector = Collector()
+        collector.take(kinds.SpanBatch.FromString(batch.SerializeToString()))
+        for trace_id in collector.newest():
+            held.setdefault(trace_id, []).extend(
+                row.span.target for row in collector.find(trace_id))
+    assert {key: set(found) for key, found in held.items()} == {
+        span.trace_id: {span.target} for span in spans}
+    assert all(len(found) >= 2 for found in held.values())
+
+
 def test_what_a_digest_joins_and_what_it_does_not():
     def digest(key=b"", **more):
         tracer = Tracer(Recorder(), TraceSettings(digest_key=key), "n", 1)
