Cold targets: log what a guard believes, count what breaks the bound

Logs could not tell the hypotheses apart: nothing said when a guard took its target for cold, by whose word, or that it had no limit at all.

Now a report that differs from what was believed is logged with its source; so are probes, a zone taken back, and an offer made without a known limit. ColdMonitor counts requests written to the target in any second beyond its bound, looking back as far as a report says that the target was cold. Rows carry cold-start-s for that. No change of what is offered.

A target tells that it is cold at once, about a second before its zone is taken back.

--- a/marblefold/configuration/laying_out.py
+++ b/marblefold/configuration/laying_out.py
@@ -40,6 +40,7 @@
                     health_check_path=upstream.health_check_path,
                     max_connections=upstream.max_connections,
                     coldstart_per_s=upstream.coldstart_per_s,
+                    cold_start_s=upstream.cold_start_s.total_seconds(),
                 )
                 for upstream in configuration.service_list
             ],
--- a/marblefold/configuration/rows.py
+++ b/marblefold/configuration/rows.py
@@ -36,6 +36,7 @@
     health_check_path: str
     max_connections: int
     coldstart_per_s: float
+    cold_start: timedelta = timedelta(0)
 
 
 class Limits(NamedTuple):
@@ -62,10 +63,7 @@
     return Rows(
         message.number,
         tuple(_read_route(row) for row in message.routes),
-        tuple(
-            Upstream(row.name, row.health_check_path, row.max_connections, row.coldstart_per_s)
-            for row in message.upstreams
-        ),
+        tuple(_read_upstream(row) for row in message.upstreams),
         Limits(
             message.header_bytes,
             message.body_bytes,
@@ -89,3 +87,13 @@
         tuple(row.split_weights),
         tuple(row.allowed_regions),
     )
+
+
+def _read_upstream(row) -> Upstream:
+    return Upstream(
+        row.name,
+        row.health_check_path,
+        row.max_connections,
+        row.coldstart_per_s,
+        timedelta(seconds=row.cold_start_s),
+    )
--- a/marblefold/proxy/program.py
+++ b/marblefold/proxy/program.py
@@ -205,6 +205,7 @@
         if config.app_address is None:
             return
         health = await ask_health(config.app_address, path)
+        log.info("target probed", healthy=health is not None)
         if health is not None:
             self.target.take_health(
                 health.instance, config.upstream, config.zone, health.slots, health.cold
@@ -244,6 +245,7 @@
             return
         # The target may have gone cold unnoticed: assume so until it reports.
         now = time.monotonic()
+        log.info("zone taken back", zone=zone, instance=self.target.instance)
         self.target.note_cold(self._config.beat_interval, now)
         table = self.view.table
         known = table.upstreams.get(self.target.upstream) if table else None
--- a/marblefold/request_path/guard.py
+++ b/marblefold/request_path/guard.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 import time
 
 from marblefold import wire_names
@@ -16,6 +17,7 @@
 from marblefold.loop_watch import LoopWatch
 from marblefold.node_config.model import Address, Bounds
 from marblefold.request_path.cold_limit import ColdLimit
+from marblefold.request_path.cold_monitor import ColdMonitor, ColdReport
 from marblefold.request_path.intake import Intake
 from marblefold.request_path.leaving_rule import LeavingRule
 from marblefold.request_path.local_target import LocalTarget, TargetState
@@ -26,7 +28,12 @@
 from marblefold.request_path.slot_queue import SlotQueue, Turn
 from marblefold.request_path.target_caller import TargetCaller
 from marblefold.request_path.tracers import GuardTracer
-from marblefold.request_path.upstream_limits import find_cold_most, find_slots
+from marblefold.request_path.upstream_limits import (
+    find_cold_bound,
+    find_cold_most,
+    find_cold_start,
+    find_slots,
+)
 
 __all__ = ["Guard"]
 
@@ -55,9 +62,12 @@
         link_bytes_per_second=1e9,
     ) -> None:
         self.cold = ColdLimit()
+        self.cold_monitor = ColdMonitor()
         self.slots = SlotQueue(1)
         self.work = RunningWork()
         self._target = target
+        target.on_cold_report = self._note_cold_report
+        target.on_new_life = self.cold_monitor.begin_life
         self._view = view
         self._bounds = bounds
         self._intake = Intake(link_bytes_per_second)
@@ -67,6 +77,8 @@
         self._offered = OfferedHops()
         self._watch = LoopWatch(_LOOK_SECONDS)
         self._unreachable_until = 0.0
+        # Whether the last request was written without a known bound for cold targets.
+        self._is_unlimited = False
         self._leaving = LeavingRule(bounds)
         # Records every hop, if this node traces.
         self.tracer: GuardTracer | None = None
@@ -85,7 +97,7 @@
         if self._connections is not None:
             self._connections.close()
         self._connections = TargetConnections(address)
-        self._caller = TargetCaller(self._connections)
+        self._caller = TargetCaller(self._connections, self._note_written)
 
     def on_hop(self, exchange: Exchange, payload: bytes) -> None:
         """Serves a hop from a peer; google.protobuf's DecodeError if its head is malformed."""
@@ -199,6 +211,19 @@
         self._learn(answer, time.monotonic() - started)
         return answer
 
+    def _note_written(self) -> None:
+        bound = find_cold_bound(self._view, self._bounds, self._target.upstream)
+        if math.isinf(bound) and not self._is_unlimited:
+            log.warning("offered without a known cold limit", instance=self._target.instance)
+        self._is_unlimited = math.isinf(bound)
+        self.cold_monitor.note_written(time.monotonic(), bound)
+
+    def _note_cold_report(self, report: ColdReport) -> None:
+        upstream = self._target.upstream
+        bound = find_cold_bound(self._view, self._bounds, upstream)
+        cold_start = find_cold_start(self._view, upstream)
+        self.cold_monitor.note_report(report, cold_start, bound)
+
     def _learn(self, answer, seconds: float) -> None:
         answer.service_us = int(seconds * 1e6)
         if answer.outcome == HopOutcome.ANSWERED:
--- a/marblefold/request_path/local_target.py
+++ b/marblefold/request_path/local_target.py
@@ -7,10 +7,13 @@
 from typing import NamedTuple
 
 from marblefold.logs import log
+from marblefold.request_path.cold_monitor import ColdReport
 
 __all__ = ["Beat", "LocalTarget", "TargetState"]
 
 _REMEMBERED_LIVES = 32
+# A report that differs from the one before by more than this is logged.
+_REPORTED_DRIFT_SECONDS = 0.2
 
 
 class TargetState(enum.Enum):
@@ -49,6 +52,10 @@
         self._beat_number = -1
         self._past_lives: list[str] = []
         self._on_change = on_change
+        # Called with the target's own word on how long it is cold, and when another
+        # instance takes its place.
+        self.on_cold_report: Callable[[ColdReport], None] = lambda _report: None
+        self.on_new_life: Callable[[], None] = lambda: None
 
     def take_beat(self, beat: Beat) -> None:
         """Applies a heartbeat; a late one or one of an earlier instance is ignored."""
@@ -66,7 +73,7 @@
             beat.slots,
         )
         self.upstream, self.zone, self.slots = beat.upstream, beat.zone, max(1, beat.slots)
-        is_changed |= self.note_cold(beat.cold, now)
+        is_changed |= self._take_report(ColdReport("heartbeat", beat.cold, now))
         state = TargetState.DRAINING if beat.is_draining else TargetState.READY
         if self._change_state(state) or is_changed:
             self._on_change()
@@ -85,7 +92,7 @@
         if instance != self.instance:
             self._begin_life(instance)
             self.upstream, self.zone, self.slots = upstream, zone, max(1, slots)
-        self.note_cold(cold, time.monotonic())
+        self._take_report(ColdReport("health", cold, time.monotonic()))
         if self.state is TargetState.UNKNOWN:
             self._change_state(TargetState.READY)
         self._on_change()
@@ -97,6 +104,21 @@
         elif instance != self.instance and instance not in self._past_lives:
             self._remember(instance)
 
+    def _take_report(self, report: ColdReport) -> bool:
+        """Applies the target's own word; returns whether it became cold or warm."""
+        left = report.left.total_seconds()
+        expected = max(0.0, self.cold_until - report.at)
+        if (left > 0) != (expected > 0) or abs(left - expected) > _REPORTED_DRIFT_SECONDS:
+            log.info(
+                "target cold" if left > 0 else "target warm",
+                instance=self.instance,
+                source=report.source,
+                left=round(left, 3),
+                expected=round(expected, 3),
+            )
+        self.on_cold_report(report)
+        return self.note_cold(report.left, report.at)
+
     def note_cold(self, cold: timedelta, now: float) -> bool:
         """Sets how much longer the target is cold; returns whether it became cold or warm.
 
@@ -112,6 +134,7 @@
         self.instance = instance
         self._beat_number = -1
         self.state = TargetState.UNKNOWN
+        self.on_new_life()
 
     def _remember(self, instance: str) -> None:
         self._past_lives.append(instance)
--- a/marblefold/request_path/target_caller.py
+++ b/marblefold/request_path/target_caller.py
@@ -50,8 +50,12 @@
 class TargetCaller:
     """Talks HTTP to the target beside this proxy."""
 
-    def __init__(self, connections: TargetConnections) -> None:
+    def __init__(
+        self, connections: TargetConnections, on_write: Callable[[], None] = lambda: None
+    ) -> None:
+        """`on_write` is called when a request is written to the target."""
         self._connections = connections
+        self._on_write = on_write
 
     async def offer(
         self,
@@ -112,6 +116,8 @@
     async def _exchange(
         self, connection: TargetConnection, exchange: OfferedExchange, head
     ) -> TargetAnswer:
+        if connection.transport is not None:
+            self._on_write()
         await connection.begin(pack_request(head), head.attempt_id.encode("latin-1", "replace"))
         if head.body_follows:
             await _send_rest(connection, exchange, head)
