A hop tells its target's cold limit; what nobody knows permits one a second

Cause of the flood (root cause): a guard without a configuration read "limit unknown" as "no limit". Its proxy was restarted while the control machines could not be asked; its target counts as ready by a heartbeat, and peers know its address from before. Class: missing knowledge taken for permission.

Now the head of a hop carries coldstart-per-s and cold-start-s of the sender's configuration, so whoever sends also tells the limit; of two that differ the more cautious one holds. A guard that knows none lets a cold target have one request a second.

Weighed: refusing every hop until there is a configuration.

--- a/marblefold/rehearsal/flight.py
+++ b/marblefold/rehearsal/flight.py
@@ -13,7 +13,7 @@
 from marblefold.request_path.decision import Conclude, Offer, RequestDecision
 from marblefold.request_path.outcome import NO_SLOT, HopOutcome, HopResult
 from marblefold.request_path.slot_queue import Turn
-from marblefold.request_path.upstream_limits import find_cold_most
+from marblefold.request_path.upstream_limits import cold_most, find_cold_limits
 
 __all__ = ["Flight"]
 
@@ -125,7 +125,8 @@
         """A slot was obtained."""
         play, target = self._play, hop.offer.target
         guard = play.guards[target.node]
-        most = find_cold_most(play.view, self._origin.surroundings.bounds, target.upstream)
+        limits = find_cold_limits(play.view, target.upstream)
+        most = cold_most(limits, self._origin.surroundings.bounds)
         if hop is not self._hop or not guard.cold.may_offer(play.now, most):
             # Returned after this call, as the guard is still assigning slots.
             play.after(0.0, guard.give_back)
--- a/marblefold/request_path/executor.py
+++ b/marblefold/request_path/executor.py
@@ -118,8 +118,9 @@
         now = time.monotonic()
         surroundings.note_request(upstream, now)
         owner = surroundings.view.owners.get(upstream)
-        head = make_head(request, route, upstream, self.caller, body, is_whole)
         table = surroundings.view.table
+        known = table.upstreams.get(upstream) if table is not None else None
+        head = make_head(request, route, upstream, known, self.caller, body, is_whole)
         head.config_version = table.number if table is not None else 0
         head.owner_epoch = owner.epoch if owner is not None else 0
         if parent is not None:
--- a/marblefold/request_path/guard.py
+++ b/marblefold/request_path/guard.py
@@ -5,8 +5,8 @@
 """
 
 import asyncio
-import math
 import time
+from datetime import timedelta
 
 from marblefold import wire_names
 from marblefold.http_connections.target_connections import CONNECT_STEP, TargetConnections
@@ -29,9 +29,10 @@
 from marblefold.request_path.target_caller import TargetCaller
 from marblefold.request_path.tracers import GuardTracer
 from marblefold.request_path.upstream_limits import (
-    find_cold_bound,
-    find_cold_most,
-    find_cold_start,
+    ColdLimits,
+    cold_bound,
+    cold_most,
+    find_cold_limits,
     find_slots,
 )
 
@@ -77,8 +78,8 @@
         self._offered = OfferedHops()
         self._watch = LoopWatch(_LOOK_SECONDS)
         self._unreachable_until = 0.0
-        # Whether the last request was written without a known bound for cold targets.
-        self._is_unlimited = False
+        # What a cold target bears, as far as it was known at the last hop.
+        self._cold_limits: ColdLimits | None = None
         self._leaving = LeavingRule(bounds)
         # Records every hop, if this node traces.
         self.tracer: GuardTracer | None = None
@@ -191,8 +192,8 @@
             left = deadline - started
             if left < _LEAST_SECONDS:
                 return _refuse("deadline", 0.0)
-            most = find_cold_most(self._view, self._bounds, head.upstream)
-            if not self.cold.may_offer(started, most):
+            self._cold_limits = find_cold_limits(self._view, head.upstream, head)
+            if not self.cold.may_offer(started, cold_most(self._cold_limits, self._bounds)):
                 return _refuse("cold", self.cold.retry_after(started))
             head.deadline_left_ms = max(1, int(left * 1000))
             self._offered.begin(exchange, started)
@@ -212,17 +213,14 @@
         return answer
 
     def _note_written(self) -> None:
-        bound = find_cold_bound(self._view, self._bounds, self._target.upstream)
-        if math.isinf(bound) and not self._is_unlimited:
-            log.warning("offered without a known cold limit", instance=self._target.instance)
-        self._is_unlimited = math.isinf(bound)
+        bound = cold_bound(self._cold_limits, self._bounds)
         self.cold_monitor.note_written(time.monotonic(), bound)
 
     def _note_cold_report(self, report: ColdReport) -> None:
-        upstream = self._target.upstream
-        bound = find_cold_bound(self._view, self._bounds, upstream)
-        cold_start = find_cold_start(self._view, upstream)
-        self.cold_monitor.note_report(report, cold_start, bound)
+        limits = find_cold_limits(self._view, self._target.upstream) or self._cold_limits
+        seconds = limits.seconds if limits is not None else 0.0
+        bound = cold_bound(limits, self._bounds)
+        self.cold_monitor.note_report(report, timedelta(seconds=seconds), bound)
 
     def _learn(self, answer, seconds: float) -> None:
         answer.service_us = int(seconds * 1e6)
--- a/marblefold/request_path/request_head.py
+++ b/marblefold/request_path/request_head.py
@@ -1,6 +1,6 @@
 """The head of a hop, as it is sent to the proxy beside a target."""
 
-from marblefold.configuration.rows import Route
+from marblefold.configuration.rows import Route, Upstream
 from marblefold.http_connections.client_request import ClientRequest
 from marblefold.inner_protocol.messages import kinds
 
@@ -14,13 +14,16 @@
     request: ClientRequest,
     route: Route,
     upstream: str,
+    known: Upstream | None,
     caller: str,
     body: bytes,
     is_whole: bool,
 ):
     """The RequestHead of a client's request; what changes from hop to hop is left open.
 
-    `body` is the buffered part of the body, `is_whole` whether that is all of it.
+    `known` is the upstream in this node's configuration, if it is there: the proxy beside
+    the target may have none.  `body` is the buffered part of the body, `is_whole` whether
+    that is all of it.
     """
     length = -1
     if is_whole:
@@ -28,7 +31,7 @@
     elif request.body_length >= 0:
         length = request.body_length
     is_inline = is_whole and len(body) <= _INLINE_BODY
-    return kinds.RequestHead(
+    head = kinds.RequestHead(
         attempt_id=request.attempt_id,
         method=request.method,
         path=request.path.encode("utf-8", "surrogateescape"),
@@ -42,3 +45,7 @@
         body_follows=not is_inline,
         body_length=length,
     )
+    if known is not None:
+        head.coldstart_per_s = known.coldstart_per_s
+        head.cold_start_s = known.cold_start.total_seconds()
+    return head
