Cold targets: warm needs a report newer than the last doubt, counted at the write

Now one owner (ColdState) holds the reports by source with their times, and the last moment of doubt: this process's start, a zone taken back, a second in which nothing was offered (cut off, frozen, emptied). In doubt the limit holds for a whole cold start, or until a health answer asked for after it. Doubt is passive: the target is probed only when a quarter of its limit is used up. ColdStart, between guard and target, checks and counts in the same step as the write. A guard's own start probes the target even if a heartbeat came. Changes of nothing are no longer announced after a probe.

Tried and taken out again: doubt after a stall of the event loop. A stalled process offers nothing, so the second without offers covers it.

--- a/marblefold/gateway/partner_hops.py
+++ b/marblefold/gateway/partner_hops.py
@@ -51,10 +51,11 @@
         # A partner does not know our instances.
         head.expected_instance = ""
 
-        def may_send() -> bool:
-            return self.may_leave(partner, peer, request, time.monotonic())
+        def find_obstacle() -> str:
+            may_leave = self.may_leave(partner, peer, request, time.monotonic())
+            return "" if may_leave else "not allowed any more"
 
-        return await self._to_partners.send(peer, head, request, body_bound, seconds, may_send)
+        return await self._to_partners.send(peer, head, request, body_bound, seconds, find_obstacle)
 
     def may_leave(
         self,
--- a/marblefold/gateway/target_hops.py
+++ b/marblefold/gateway/target_hops.py
@@ -81,7 +81,7 @@
         request: SentRequest,
         body_bound: int,
         seconds: float,
-        may_send: Callable[[], bool] | None = None,
+        find_obstacle: Callable[[], str] | None = None,
     ) -> HopResult:
         """The hop's end; it raises only BodyTooLarge and a lost client."""
         caller = self._pool.caller(peer)
@@ -91,7 +91,7 @@
         started = time.monotonic()
         exchange = _TargetExchange(request, body_bound)
         offer = asyncio.get_running_loop().create_task(
-            caller.offer(exchange, head, seconds, may_send)
+            caller.offer(exchange, head, seconds, find_obstacle)
         )
         try:
             # The body of a large answer follows its head; a small one is part of it.
--- a/marblefold/proxy/program.py
+++ b/marblefold/proxy/program.py
@@ -40,6 +40,7 @@
 __all__ = ["ProxyProgram"]
 
 _OVERDUE_LOOK = timedelta(seconds=10)
+_TABLE_LOOK_SECONDS = 0.05
 # The shutdown is announced to peers after this share of the grace period.
 _ANNOUNCE_SHARE = 0.13
 
@@ -99,6 +100,7 @@
         ready.add(*wire_names.READINESS_CALL, self._readiness)
         self._control = HttpServer(calls.handle)
         self._readiness_server = HttpServer(ready.handle)
+        self.guard.cold.on_probe_wanted = self._probe_target
         self.view.on_own_notice = self._on_own_notice
         self.view.on_configuration = self._on_configuration
         self.view.on_evacuation = self._on_evacuation
@@ -111,8 +113,7 @@
         loop.add_signal_handler(signal.SIGHUP, self._watch.reread)
         self._watch.listen(self._on_config)
         self._take_address(self._config)
-        # It is unknown what the target was already offered in this second.
-        self.guard.cold.assume_spent(time.monotonic())
+        self.guard.cold.begin(time.monotonic())
         listen = self._config.listen
         inner = inner_address(self._config.host, self._config, PROXY)
         host, _sign, port = inner.rpartition(":")
@@ -192,23 +193,22 @@
 
     async def _find_target(self) -> None:
         """After our own start the target may already be running: probe it once."""
-        while self.target.state is TargetState.UNKNOWN and self._config.app_address:
-            table = self.view.table
-            known = table.upstreams.get(self._config.upstream) if table else None
-            if known is not None:
-                await self._probe(known.health_check_path)
-                return
-            await asyncio.sleep(0.05)
+        while self.view.table is None:
+            await asyncio.sleep(_TABLE_LOOK_SECONDS)
+        # Even if a heartbeat came first: that may have been on its way for long.
+        if self.target.state is TargetState.UNKNOWN or self.guard.cold.is_in_doubt:
+            self._probe_target()
 
     async def _probe(self, path: str) -> None:
         config = self._watch.config
         if config.app_address is None:
             return
+        asked_at = time.monotonic()
         health = await ask_health(config.app_address, path)
         log.info("target probed", healthy=health is not None)
         if health is not None:
             self.target.take_health(
-                health.instance, config.upstream, config.zone, health.slots, health.cold
+                health.instance, config.upstream, config.zone, health.slots, health.cold, asked_at
             )
 
     def _seed_registries(self) -> list[str]:
@@ -243,13 +243,15 @@
     def _on_evacuation(self, zone: str, is_on: bool) -> None:
         if is_on or zone != self._config.zone:
             return
-        # The target may have gone cold unnoticed: assume so until it reports.
-        now = time.monotonic()
-        log.info("zone taken back", zone=zone, instance=self.target.instance)
-        self.target.note_cold(self._config.beat_interval, now)
+        self.guard.cold.doubt(time.monotonic(), "zone taken back")
+        if self.target.state is TargetState.READY:
+            self._probe_target()
+
+    def _probe_target(self) -> None:
+        """Asks the target for its health, if it is known where to ask."""
         table = self.view.table
-        known = table.upstreams.get(self.target.upstream) if table else None
-        if known is not None and self.target.state is TargetState.READY:
+        known = table.upstreams.get(self._config.upstream) if table else None
+        if known is not None:
             self._tasks.start(self._probe(known.health_check_path))
 
     def _on_config(self, config: NodeConfig) -> None:
--- a/marblefold/request_path/cold_limit.py
+++ b/marblefold/request_path/cold_limit.py
@@ -30,12 +30,22 @@
         `most` is the number of requests allowed within a second.
         """
         self._forget(now)
-        if now < self.cold_until:
-            if now < self._spent_until or len(self._arrivals) + 1 > most:
-                return False
+        if not self.has_room(now, most):
+            return False
         self._arrivals.append(now)
         return True
 
+    def has_room(self, now: float, most: float) -> bool:
+        """Whether one more request may go to the target now; it is not counted."""
+        if now >= self.cold_until:
+            return True
+        return now >= self._spent_until and self.count(now) + 1 <= most
+
+    def count(self, now: float) -> int:
+        """How many requests went to the target within the window."""
+        self._forget(now)
+        return len(self._arrivals)
+
     def retry_after(self, now: float) -> float:
         """In how many seconds the window has room again."""
         if not self._arrivals:
--- a/marblefold/request_path/cold_monitor.py
+++ b/marblefold/request_path/cold_monitor.py
@@ -9,28 +9,17 @@
 import math
 from collections import deque
 from datetime import timedelta
-from typing import NamedTuple
 
 from marblefold.logs import log
+from marblefold.request_path.cold_state import ColdReport
 
-__all__ = ["ColdMonitor", "ColdReport"]
+__all__ = ["ColdMonitor"]
 
 _WINDOW_SECONDS = 1.0
 # Enough for the longest cold start at several hundred requests a second.
 _MOST_KEPT = 2048
 
 
-class ColdReport(NamedTuple):
-    """How much longer the target is cold, by its own word.
-
-    `source` names what told it; `at` is when it was heard, in monotonic seconds.
-    """
-
-    source: str
-    left: timedelta
-    at: float
-
-
 class ColdMonitor:
     """Counts the requests that were written to a cold target beyond its bound.
 
--- /dev/null
+++ b/marblefold/request_path/cold_start.py
@@ -0,0 +1,127 @@
+"""Holds the target beside this proxy to its limit whenever it may be cold."""
+
+import math
+import time
+from collections.abc import Callable
+from datetime import timedelta
+
+from marblefold.logs import log
+from marblefold.node_config.model import Bounds
+from marblefold.request_path.cold_limit import ColdLimit
+from marblefold.request_path.cold_monitor import ColdMonitor
+from marblefold.request_path.cold_state import ColdReport
+from marblefold.request_path.local_target import LocalTarget
+from marblefold.request_path.mesh_view import MeshView
+from marblefold.request_path.upstream_limits import (
+    ColdLimits,
+    cold_bound,
+    cold_most,
+    find_cold_limits,
+)
+
+__all__ = ["COLD_STEP", "ColdStart"]
+
+# The step of a hop that is refused since its target may be cold.
+COLD_STEP = "cold"
+# A target that was offered nothing for longer may have gone cold meanwhile, unknown to us: we
+# were cut off, or did not run.
+_IDLE_SECONDS = 1.1
+# A doubtful target is probed once this share of its limit is used up: with less, the
+# doubt costs nothing.
+_PROBE_SHARE = 0.25
+_PROBE_EVERY = 0.25
+_DOUBT_RETRY_SECONDS = 0.1
+
+
+class ColdStart:
+    """Decides whether a request may be written to the target now.
+
+    All times are monotonic seconds.
+    """
+
+    def __init__(self, target: LocalTarget, view: MeshView, bounds: Bounds) -> None:
+        self.monitor = ColdMonitor()
+        # Called when only a probe can tell whether the target is cold.
+        self.on_probe_wanted: Callable[[], None] = lambda: None
+        self._target = target
+        self._view = view
+        self._bounds = bounds
+        self._limit = ColdLimit()
+        # What a cold target bears, as far as it was known at the last hop.
+        self._limits: ColdLimits | None = None
+        self._written_at = -math.inf
+        self._probed_at = -math.inf
+        target.on_cold_report = self._note_report
+        target.on_new_life = self.monitor.begin_life
+
+    def begin(self, now: float) -> None:
+        """This process has started: what the target was offered until now is unknown.
+
+        Whatever a heartbeat says first may be older than that.
+        """
+        self._limit.assume_spent(now)
+        self._written_at = now
+        self.doubt(now, "start")
+
+    def doubt(self, now: float, why: str) -> None:
+        """The target may have gone cold without our having heard of it."""
+        log.info("target may be cold", instance=self._target.instance, why=why)
+        self._target.cold.doubt(now)
+
+    @property
+    def is_in_doubt(self) -> bool:
+        """Whether the target may be cold unknown to us."""
+        return self._target.cold.is_in_doubt(time.monotonic(), self._cold_seconds)
+
+    def has_room(self, head, now: float) -> bool:
+        """Whether the hop may be offered, as far as can be told; it is not counted yet."""
+        self._limits = find_cold_limits(self._view, head.upstream, head)
+        if now - self._written_at > _IDLE_SECONDS:
+            self._target.cold.doubt(now)
+        self._look_at_doubt(now)
+        return self._limit.has_room(now, cold_most(self._limits, self._bounds))
+
+    def may_write(self, now: float) -> bool:
+        """Whether the hop may be written at this moment; if so, it is counted.
+
+        Nothing may be awaited between this and the write.
+        """
+        self._look_at_doubt(now)
+        if not self._limit.may_offer(now, cold_most(self._limits, self._bounds)):
+            return False
+        self._written_at = now
+        return True
+
+    def note_written(self) -> None:
+        """A request was written to the target."""
+        self.monitor.note_written(time.monotonic(), cold_bound(self._limits, self._bounds))
+
+    def retry_after(self, now: float) -> float:
+        """In how many seconds there is room again, or may be."""
+        if now < self._target.cold_until:
+            return self._limit.retry_after(now)
+        # A probe may end the doubt at any moment.
+        return min(_DOUBT_RETRY_SECONDS, self._limit.retry_after(now))
+
+    @property
+    def _cold_seconds(self) -> float:
+        return self._limits.seconds if self._limits is not None else 0.0
+
+    def _look_at_doubt(self, now: float) -> None:
+        """Holds the limit or lifts it, and has the target probed if the doubt is dear."""
+        state = self._target.cold
+        seconds = self._cold_seconds
+        self._limit.cold_until = math.inf if state.may_be_cold(now, seconds) else -math.inf
+        if not state.is_in_doubt(now, seconds):
+            return
+        most = cold_most(self._limits, self._bounds)
+        is_dear = self._limit.count(now) >= _PROBE_SHARE * most
+        if is_dear and now - self._probed_at >= _PROBE_EVERY:
+            self._probed_at = now
+            self.on_probe_wanted()
+
+    def _note_report(self, report: ColdReport) -> None:
+        limits = find_cold_limits(self._view, self._target.upstream) or self._limits
+        seconds = limits.seconds if limits is not None else 0.0
+        bound = cold_bound(limits, self._bounds)
+        self.monitor.note_report(report, timedelta(seconds=seconds), bound)
--- a/marblefold/request_path/guard.py
+++ b/marblefold/request_path/guard.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import time
-from datetime import timedelta
 
 from marblefold import wire_names
 from marblefold.http_connections.target_connections import CONNECT_STEP, TargetConnections
@@ -16,8 +15,7 @@
 from marblefold.logs import log
 from marblefold.loop_watch import LoopWatch
 from marblefold.node_config.model import Address, Bounds
-from marblefold.request_path.cold_limit import ColdLimit
-from marblefold.request_path.cold_monitor import ColdMonitor, ColdReport
+from marblefold.request_path.cold_start import COLD_STEP, ColdStart
 from marblefold.request_path.intake import Intake
 from marblefold.request_path.leaving_rule import LeavingRule
 from marblefold.request_path.local_target import LocalTarget, TargetState
@@ -28,13 +26,7 @@
 from marblefold.request_path.slot_queue import SlotQueue, Turn
 from marblefold.request_path.target_caller import TargetCaller
 from marblefold.request_path.tracers import GuardTracer
-from marblefold.request_path.upstream_limits import (
-    ColdLimits,
-    cold_bound,
-    cold_most,
-    find_cold_limits,
-    find_slots,
-)
+from marblefold.request_path.upstream_limits import find_slots
 
 __all__ = ["Guard"]
 
@@ -62,13 +54,10 @@
         bounds: Bounds,
         link_bytes_per_second=1e9,
     ) -> None:
-        self.cold = ColdLimit()
-        self.cold_monitor = ColdMonitor()
+        self.cold = ColdStart(target, view, bounds)
         self.slots = SlotQueue(1)
         self.work = RunningWork()
         self._target = target
-        target.on_cold_report = self._note_cold_report
-        target.on_new_life = self.cold_monitor.begin_life
         self._view = view
         self._bounds = bounds
         self._intake = Intake(link_bytes_per_second)
@@ -78,8 +67,6 @@
         self._offered = OfferedHops()
         self._watch = LoopWatch(_LOOK_SECONDS)
         self._unreachable_until = 0.0
-        # What a cold target bears, as far as it was known at the last hop.
-        self._cold_limits: ColdLimits | None = None
         self._leaving = LeavingRule(bounds)
         # Records every hop, if this node traces.
         self.tracer: GuardTracer | None = None
@@ -98,7 +85,7 @@
         if self._connections is not None:
             self._connections.close()
         self._connections = TargetConnections(address)
-        self._caller = TargetCaller(self._connections, self._note_written)
+        self._caller = TargetCaller(self._connections, self.cold.note_written)
 
     def on_hop(self, exchange: Exchange, payload: bytes) -> None:
         """Serves a hop from a peer; google.protobuf's DecodeError if its head is malformed."""
@@ -192,36 +179,26 @@
             left = deadline - started
             if left < _LEAST_SECONDS:
                 return _refuse("deadline", 0.0)
-            self._cold_limits = find_cold_limits(self._view, head.upstream, head)
-            if not self.cold.may_offer(started, cold_most(self._cold_limits, self._bounds)):
-                return _refuse("cold", self.cold.retry_after(started))
+            if not self.cold.has_room(head, started):
+                return _refuse(COLD_STEP, self.cold.retry_after(started))
             head.deadline_left_ms = max(1, int(left * 1000))
             self._offered.begin(exchange, started)
             self.work.begin(run)
             exchange.is_repeatable = head.route_type == wire_names.READ_ONLY
-            is_owner = (lambda: self._is_owner(head)) if head.owner_epoch else None
-            answer = await caller.offer(exchange, head, left, is_owner)
+            answer = await caller.offer(exchange, head, left, lambda: self._find_obstacle(head))
         finally:
             self._offered.end(exchange)
             self.work.end(run)
             self.slots.give_back()
         if answer.outcome == HopOutcome.NEVER_OFFERED:
+            if answer.step == COLD_STEP:
+                return _refuse(COLD_STEP, self.cold.retry_after(time.monotonic()))
             if answer.step == CONNECT_STEP:
                 self._unreachable_until = time.monotonic() + _SHUN_SECONDS
             answer.retry_after_ms = int(_SHUN_SECONDS * 1000)
         self._learn(answer, time.monotonic() - started)
         return answer
 
-    def _note_written(self) -> None:
-        bound = cold_bound(self._cold_limits, self._bounds)
-        self.cold_monitor.note_written(time.monotonic(), bound)
-
-    def _note_cold_report(self, report: ColdReport) -> None:
-        limits = find_cold_limits(self._view, self._target.upstream) or self._cold_limits
-        seconds = limits.seconds if limits is not None else 0.0
-        bound = cold_bound(limits, self._bounds)
-        self.cold_monitor.note_report(report, timedelta(seconds=seconds), bound)
-
     def _learn(self, answer, seconds: float) -> None:
         answer.service_us = int(seconds * 1e6)
         if answer.outcome == HopOutcome.ANSWERED:
@@ -252,9 +229,14 @@
         limit = find_slots(self._view, target)
         if self.slots.limit != limit:
             self.slots.set_limit(limit)
-        self.cold.cold_until = target.cold_until
         return None
 
+    def _find_obstacle(self, head) -> str:
+        """The step that forbids the write of the hop right now, or "" after counting it."""
+        if head.owner_epoch and not self._is_owner(head):
+            return "another owner"
+        return "" if self.cold.may_write(time.monotonic()) else COLD_STEP
+
     def _is_owner(self, head) -> bool:
         """Whether our site owns the service now, in the sender's epoch."""
         if not head.owner_epoch and head.upstream not in self._view.owners:
--- a/marblefold/request_path/local_target.py
+++ b/marblefold/request_path/local_target.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 
 from marblefold.logs import log
-from marblefold.request_path.cold_monitor import ColdReport
+from marblefold.request_path.cold_state import ColdReport, ColdState, ReportSource
 
 __all__ = ["Beat", "LocalTarget", "TargetState"]
 
@@ -47,7 +47,7 @@
         self.upstream = ""
         self.zone = ""
         self.slots = 1
-        self.cold_until = 0.0
+        self.cold = ColdState()
         self.drain_since = 0.0
         self._beat_number = -1
         self._past_lives: list[str] = []
@@ -73,7 +73,7 @@
             beat.slots,
         )
         self.upstream, self.zone, self.slots = beat.upstream, beat.zone, max(1, beat.slots)
-        is_changed |= self._take_report(ColdReport("heartbeat", beat.cold, now))
+        is_changed |= self._take_report(ColdReport(ReportSource.HEARTBEAT, beat.cold, now))
         state = TargetState.DRAINING if beat.is_draining else TargetState.READY
         if self._change_state(state) or is_changed:
             self._on_change()
@@ -85,17 +85,21 @@
         zone: str,
         slots: int,
         cold: timedelta,
+        asked_at: float,
     ) -> None:
-        """Applies a healthy answer to our probe, in place of a missing heartbeat."""
+        """Applies a healthy answer to the probe of `asked_at` (monotonic seconds)."""
         if instance in self._past_lives:
             return
-        if instance != self.instance:
+        is_changed = instance != self.instance
+        if is_changed:
             self._begin_life(instance)
             self.upstream, self.zone, self.slots = upstream, zone, max(1, slots)
-        self._take_report(ColdReport("health", cold, time.monotonic()))
+        report = ColdReport(ReportSource.HEALTH, cold, time.monotonic(), asked_at)
+        is_changed |= self._take_report(report)
         if self.state is TargetState.UNKNOWN:
-            self._change_state(TargetState.READY)
-        self._on_change()
+            is_changed |= self._change_state(TargetState.READY)
+        if is_changed:
+            self._on_change()
 
     def leave(self, instance: str) -> None:
         """The target has announced its end."""
@@ -104,33 +108,32 @@
         elif instance != self.instance and instance not in self._past_lives:
             self._remember(instance)
 
+    @property
+    def cold_until(self) -> float:
+        """Until when the target is cold by its own word, in monotonic seconds."""
+        return self.cold.cold_until
+
     def _take_report(self, report: ColdReport) -> bool:
         """Applies the target's own word; returns whether it became cold or warm."""
-        left = report.left.total_seconds()
+        was_cold = self.cold_until > report.at
         expected = max(0.0, self.cold_until - report.at)
-        if (left > 0) != (expected > 0) or abs(left - expected) > _REPORTED_DRIFT_SECONDS:
+        left = report.left.total_seconds()
+        if (left > 0) != was_cold or abs(left - expected) > _REPORTED_DRIFT_SECONDS:
             log.info(
                 "target cold" if left > 0 else "target warm",
                 instance=self.instance,
-                source=report.source,
+                source=report.source.value,
                 left=round(left, 3),
                 expected=round(expected, 3),
             )
+        self.cold.take(report)
         self.on_cold_report(report)
-        return self.note_cold(report.left, report.at)
-
-    def note_cold(self, cold: timedelta, now: float) -> bool:
-        """Sets how much longer the target is cold; returns whether it became cold or warm.
-
-        `now` is in monotonic seconds.
-        """
-        was_cold = self.cold_until > now
-        self.cold_until = now + cold.total_seconds()
-        return was_cold != (self.cold_until > now)
+        return was_cold != (self.cold_until > report.at)
 
     def _begin_life(self, instance: str) -> None:
         if self.instance:
             self._remember(self.instance)
+            self.cold = ColdState()
         self.instance = instance
         self._beat_number = -1
         self.state = TargetState.UNKNOWN
--- a/marblefold/request_path/target_caller.py
+++ b/marblefold/request_path/target_caller.py
@@ -62,12 +62,13 @@
         exchange: OfferedExchange,
         head,
         seconds: float,
-        may_send: Callable[[], bool] | None = None,
+        find_obstacle: Callable[[], str] | None = None,
     ):
         """The AnswerHead of the hop; the body may follow on the exchange.
 
         The request must be answered within the given seconds.  NEVER_OFFERED
-        is returned only if not a byte of it was written to the target.
+        is returned only if not a byte of it was written to the target.  `find_obstacle`
+        names what forbids the write in that moment, or gives "".
         """
         deadline = time.monotonic() + seconds
         try:
@@ -82,9 +83,10 @@
         if left < _LEAST_SECONDS:
             self._connections.put_back(connection)
             return _never_offered("deadline")
-        if may_send is not None and not may_send():
+        obstacle = find_obstacle() if find_obstacle is not None else ""
+        if obstacle:
             self._connections.put_back(connection)
-            return _never_offered("not allowed any more")
+            return _never_offered(obstacle)
         head.deadline_left_ms = min(head.deadline_left_ms, max(1, int(left * 1000)))
         return await self._offer_on(connection, exchange, head, left)
 
--- a/tests/simulated_cold.py
+++ b/tests/simulated_cold.py
@@ -50,7 +50,6 @@
         self.bounds = parse_config(make_config("10.0.0.9", 7000, "")).bounds
         # When each request was written to the target.
         self.written = []
-        self.opening_takes = 0.0
         self._links, self._lines, self._asked, self._beats = [], [], 0, 0
         self.table = make_cold_table()
         self._start_peer()
@@ -75,9 +74,15 @@
         self.stage.call(self._make_guard)
 
     def _make_guard(self):
+        self.probes = 0
         self.guard = Guard(self.target, self.view, self.bounds)
-        self.guard.set_address(Address("10.0.1.1", 80))
-        self.guard.cold.assume_spent(self.stage.now)
+        self.address = Address("10.0.1.1", 80)
+        self.guard.set_address(self.address)
+        self.guard.cold.on_probe_wanted = self._count_probe
+        self.guard.cold.begin(self.stage.now)
+
+    def _count_probe(self):
+        self.probes += 1
 
     def configure(self):
         """The proxy beside the target has got the configuration."""
@@ -90,6 +95,19 @@
         beat = Beat("i1", "quotes", "", "hall", 12, False, cold, self._beats)
         self.stage.call(self.target.take_beat, beat)
 
+    def answer_health(self, cold_seconds, asked_at):
+        """The target's answer to a probe arrives."""
+        cold = timedelta(seconds=cold_seconds)
+        self.stage.call(self.target.take_health, "i1", "quotes", "hall", 12, cold, asked_at)
+
+    def warm_up(self):
+        """The proxy has run for a while, knows its target to be warm and is used."""
+        self.configure()
+        self.beat(0.0)
+        self.spend(5.0)
+        self.ask(1)
+        self.answer_health(0.0, self.stage.now)
+
     def ask(self, count):
         """The peer's clients ask so many times; the target answers at once."""
         for _request in range(count):
@@ -120,7 +138,6 @@
 
     def _connect(self, address, near):
         if address.startswith("10.0.1."):
-            self.stage.now += self.opening_takes
             self._lines.append(SimpleNamespace(transport=near, seen=0))
             near.on_write = self._look
             return
--- a/tests/simulated_connections.py
+++ b/tests/simulated_connections.py
@@ -70,8 +70,12 @@
 
     # Given the address and the near transport; an OSError refuses.
     connector = staticmethod(lambda address, transport: None)
+    # Connections open only once this event is set, if there is one.
+    gate: asyncio.Event | None = None
 
     async def create_connection(self, make_protocol, host=None, port=None, **_more):
+        if self.gate is not None:
+            await self.gate.wait()
         protocol = make_protocol()
         transport = ListTransport(protocol, self, f"{host}:{port}")
         self.connector(transport.address, transport)
--- a/tests/test_cold_monitor.py
+++ b/tests/test_cold_monitor.py
@@ -5,13 +5,16 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from marblefold.request_path.cold_monitor import ColdMonitor, ColdReport
+from marblefold.request_path.cold_monitor import ColdMonitor
+from marblefold.request_path.cold_state import ColdReport, ReportSource
 
 COLD_START = timedelta(seconds=3)
 
 
 def report(monitor, left, at, bound):
-    monitor.note_report(ColdReport("heartbeat", timedelta(seconds=left), at), COLD_START, bound)
+    monitor.note_report(
+        ColdReport(ReportSource.HEARTBEAT, timedelta(seconds=left), at), COLD_START, bound
+    )
 
 
 @given(
