--- a/marblefold/proxy/notices.py
+++ b/marblefold/proxy/notices.py
@@ -36,7 +36,7 @@
             upstream=target.upstream,
             slots=target.slots,
             state=target.state.value,
-            cold_left_ms=max(0, int((target.cold_until - time.monotonic()) * 1000)),
+            cold_left_ms=int(max(0.0, target.cold_until - time.monotonic()) * 1000),
             leaving=self.is_leaving,
             site=config.site,
             site_agent=config.site_agent,
