Soak: real processes on loopback under overlapping kills, pauses, cuts and lost answers

Three core machines and six with targets as real processes, each on an event loop whose connections can be cut; stand-in targets that go cold as zones are taken back or as they are replaced, tell it late at times, and count what each cold second holds; clients, an operator with changes and evacuations. Checked: cold seconds, requests run twice or after a promise, whole answers, acknowledged configurations, recovery, programs that end by themselves, and the invariants that the programs log.

--- /dev/null
+++ b/tools/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A soak: real processes on loopback under random troubles, with invariants checked."""
--- /dev/null
+++ b/tools/soak/__main__.py
@@ -0,0 +1,38 @@
+"""python3 -m tools.soak --seeds=1,2,3 --seconds=60: exits with 1 if an invariant broke."""
+
+import asyncio
+import json
+import sys
+
+from absl import app, flags
+
+from tools.soak.run import soak
+
+FLAGS = flags.FLAGS
+flags.DEFINE_list("seeds", ["1"], "Seeds to play, one after the other.")
+flags.DEFINE_float("seconds", 30.0, "Seconds of troubles in each.", lower_bound=1, upper_bound=3600)
+flags.DEFINE_float("rate", 150.0, "Requests a second.", lower_bound=1, upper_bound=2000)
+flags.DEFINE_string("out", "", "File that gets each outcome as a JSON line.")
+
+
+def main(_arguments: list[str]) -> int:
+    """Plays the seeds; the exit status."""
+    broken = 0
+    for seed in FLAGS.seeds:
+        outcome = asyncio.run(soak(int(seed), FLAGS.seconds, FLAGS.rate))
+        print(
+            f"seed {outcome.seed}: {outcome.served} of {outcome.asked} served, "
+            f"{outcome.changes} changes, {outcome.evacuations} evacuations, "
+            f"{len(outcome.troubles)} troubles, worst cold second {outcome.worst_cold_second}, "
+            f"violations: {'; '.join(outcome.violations) or 'none'}",
+            flush=True,
+        )
+        broken += bool(outcome.violations)
+        if FLAGS.out:
+            with open(FLAGS.out, "a", encoding="utf-8") as file:
+                file.write(json.dumps(outcome.as_dict()) + "\n")
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(app.run(main))
--- /dev/null
+++ b/tools/soak/fleet.py
@@ -0,0 +1,109 @@
+"""Starts, cuts, pauses and kills the programs of a soak; only processes of its own."""
+
+import asyncio
+import os
+import signal
+import sys
+from pathlib import Path
+
+from tools.soak.layout import Machine, write_config
+
+__all__ = ["Fleet", "Node"]
+
+
+class Node:
+    """One program of one machine."""
+
+    def __init__(self, machine: Machine, role: str, folder: Path, core: list[Machine]) -> None:
+        self.machine = machine
+        self.role = role
+        self.name = f"{machine.name}-{role}"
+        self.log = folder / f"{self.name}.log"
+        self._folder = folder
+        self._core = core
+        self._process: asyncio.subprocess.Process | None = None
+        self._starts = 0
+
+    @property
+    def cut_file(self) -> Path:
+        """Lists the addresses that this machine cannot reach."""
+        return self._folder / f"{self.machine.name}.cut"
+
+    async def start(self) -> None:
+        """Starts the program, on its earlier disk if it has one."""
+        data = ""
+        if self.role != "proxy":
+            path = self._folder / f"{self.name}.data"
+            path.mkdir(exist_ok=True)
+            data = str(path)
+        config = self._folder / f"{self.name}.conf"
+        write_config(config, self.machine, self._core, data, self._starts == 0)
+        self._starts += 1
+        with self.log.open("ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "tools.soak.node",
+                self.machine.host,
+                str(self.cut_file),
+                self.role,
+                stdout=log,
+                stderr=log,
+                env={
+                    "PATH": os.environ["PATH"],
+                    "PYTHONPATH": os.getcwd(),
+                    "MARBLEFOLD_NODE_FILE": str(config),
+                },
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Sends a signal to the program, if it runs."""
+        if self._process is not None and self._process.returncode is None:
+            self._process.send_signal(number)
+
+    @property
+    def has_ended_by_itself(self) -> bool:
+        """Whether the program ended though nobody killed it."""
+        return self._process is not None and self._process.returncode is not None
+
+    async def kill(self) -> None:
+        """Kills the program and waits for its end."""
+        process, self._process = self._process, None
+        if process is not None:
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
+
+
+class Fleet:
+    """All programs; leaving the context ends every one of them."""
+
+    def __init__(self, core: list[Machine], sides: list[Machine], folder: Path) -> None:
+        self.stores = [Node(machine, "store", folder, core) for machine in core]
+        self.registries = [Node(machine, "registry", folder, core) for machine in core]
+        self.proxies = [Node(machine, "proxy", folder, core) for machine in sides]
+        self._cuts: dict[str, set[str]] = {}
+
+    @property
+    def nodes(self) -> list[Node]:
+        """Every program."""
+        return [*self.stores, *self.registries, *self.proxies]
+
+    async def __aenter__(self) -> "Fleet":
+        for node in self.nodes:
+            await node.start()
+        return self
+
+    async def __aexit__(self, *_error) -> None:
+        for node in self.nodes:
+            await node.kill()
+
+    def _cut_file(self, host: str) -> Path:
+        return next(node.cut_file for node in self.nodes if node.machine.host == host)
+
+    def cut(self, one: str, other: str, is_cut: bool) -> None:
+        """Cuts two addresses off from each other, or joins them again."""
+        for near, far in ((one, other), (other, one)):
+            hosts = self._cuts.setdefault(near, set())
+            (hosts.add if is_cut else hosts.discard)(far)
+            self._cut_file(near).write_text("\n".join(sorted(hosts)))
--- /dev/null
+++ b/tools/soak/http_call.py
@@ -0,0 +1,47 @@
+"""One HTTP call on a connection of its own, as plain as clients, targets and operators are."""
+
+import asyncio
+from typing import NamedTuple
+
+__all__ = ["CallAnswer", "call"]
+
+
+class CallAnswer(NamedTuple):
+    """An answer; status 0 if none came, or not a whole one."""
+
+    status: int
+    head: bytes
+    body: bytes
+
+
+_NONE = CallAnswer(0, b"", b"")
+
+
+async def call(
+    address: tuple[str, int],
+    method: str,
+    path: str,
+    headers: tuple[str, ...] = (),
+    body: bytes = b"",
+    seconds: float = 1.0,
+) -> CallAnswer:
+    """The answer to the call, or one with status 0."""
+    writer = None
+    try:
+        async with asyncio.timeout(seconds):
+            reader, writer = await asyncio.open_connection(*address)
+            lines = [
+                f"{method} {path} HTTP/1.1",
+                "Host: shop",
+                "Connection: close",
+                f"Content-Length: {len(body)}",
+                *headers,
+            ]
+            writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+            head, _sign, rest = (await reader.read(-1)).partition(b"\r\n\r\n")
+            return CallAnswer(int(head.split(b" ", 2)[1]), head, rest)
+    except (OSError, TimeoutError, ValueError, IndexError):
+        return _NONE
+    finally:
+        if writer is not None:
+            writer.close()
--- /dev/null
+++ b/tools/soak/layout.py
@@ -0,0 +1,143 @@
+"""The machines of a soak: their addresses, config files and the configuration they serve."""
+
+import os
+from pathlib import Path
+from typing import NamedTuple
+
+__all__ = [
+    "COLD_ALLOWED",
+    "COLD_SECONDS",
+    "SERVICES",
+    "ZONES",
+    "Machine",
+    "make_configuration",
+    "make_machines",
+    "write_config",
+]
+
+ZONES = ("hall-a", "hall-b", "hall-c")
+SERVICES = ("quotes", "orders")
+COLD_SECONDS = 3.0
+_COLD_PER_SECOND = 6.0
+# By the bounds below: 1.5 times that and 5 more.
+COLD_ALLOWED = 14
+_FIRST_PORT = 29000
+_BOUNDS = """
+bounds.contact-window-ms=3000
+bounds.ack-timeout-ms=4000
+bounds.catch-up-s=4
+bounds.drain-timeout-ms=2000
+bounds.grace-period-s=6
+bounds.loss-slack-ms=200
+bounds.config-apply-ms=2000
+bounds.retry-budget-ratio=0.2
+bounds.retry-window-s=10
+bounds.retry-budget-slack=60
+bounds.cold-overage=1.5
+bounds.cold-slack=5
+bounds.evacuation-ms=5000
+limits.memory-mb=300
+limits.max-file-descriptors=4000
+heartbeat-interval-ms=500
+fault-tolerance.machine-losses=1
+"""
+
+
+class Machine(NamedTuple):
+    """A machine of the soak; one of the core has no service."""
+
+    name: str
+    host: str
+    zone: str
+    service: str
+
+    @property
+    def control(self) -> int:
+        """The port for targets and operators."""
+        return _FIRST_PORT
+
+    @property
+    def outbound(self) -> int:
+        """The port for clients."""
+        return _FIRST_PORT + 1
+
+    @property
+    def application(self) -> int:
+        """The port of the target."""
+        return _FIRST_PORT + 2
+
+
+def make_machines() -> tuple[list[Machine], list[Machine]]:
+    """The core machines, and those with a target: one of each service in each zone."""
+    # Loopback addresses of this process alone, so that two soaks can run at once.
+    network = f"127.{192 + os.getpid() // 250 % 60}.{1 + os.getpid() % 250}"
+    core = [
+        Machine(f"core-{number}", f"{network}.{10 + number}", zone, "")
+        for number, zone in enumerate(ZONES)
+    ]
+    sides = [
+        Machine(f"side-{service}-{zone}", f"{network}.{20 + 10 * kind + number}", zone, service)
+        for kind, service in enumerate(SERVICES)
+        for number, zone in enumerate(ZONES)
+    ]
+    return core, sides
+
+
+def write_config(
+    path: Path, machine: Machine, core: list[Machine], data: str, is_first: bool
+) -> None:
+    """Writes the config file of one program of the machine; `data` is its folder, if any."""
+    seeds = ",".join(f"{seed.host}:{seed.control}" for seed in core)
+    lines = [
+        f"node-name={machine.name}",
+        f"zone={machine.zone}",
+        "region=here",
+        *(f"zones.{zone}=here" for zone in ZONES),
+        f"ip-address={machine.host}",
+        f"internal-port-range={_FIRST_PORT + 4},{_FIRST_PORT + 12}",
+        f"seed-nodes={seeds}",
+        f"initial-start={str(is_first).lower()}",
+        f"listen-addresses.control-plane={machine.host}:{machine.control}",
+    ]
+    if data:
+        lines.append(f"data-directory={data}")
+    if machine.service:
+        lines += [
+            f"listen-addresses.outbound={machine.host}:{machine.outbound}",
+            f"listen-addresses.readiness={machine.host}:{_FIRST_PORT + 3}",
+            f"app-address={machine.host}:{machine.application}",
+            f"upstream={machine.service}",
+        ]
+    path.write_text("\n".join(lines) + _BOUNDS)
+
+
+def make_configuration(version: int) -> dict:
+    """A configuration with a route to read and one to write for each service."""
+    return {
+        "config-version": version,
+        "route-list": [
+            {
+                "name": f"{kind}-{service}",
+                "host-name": "shop",
+                "path-prefix": f"/{kind}/{service}/",
+                "route-type": kind,
+                "timeout-ms": 1500,
+                "target-latency-ms": 300 + version % 7,
+                "max-attempts": 2,
+                "upstream": service,
+            }
+            for service in SERVICES
+            for kind in ("read_only", "mutating")
+        ],
+        "service-list": [
+            {
+                "name": service,
+                "health-check-path": "/health",
+                "max-connections": 100,
+                "cold-start-s": COLD_SECONDS,
+                "coldstart-per-s": _COLD_PER_SECOND,
+            }
+            for service in SERVICES
+        ],
+        "limits": {},
+    }
--- /dev/null
+++ b/tools/soak/node.py
@@ -0,0 +1,44 @@
+"""python3 -m tools.soak.node HOST CUT_FILE PROGRAM: one program on a loop that can be cut.
+
+The cut file lists the addresses out of reach, one a line; it is read again and again.
+"""
+
+import asyncio
+import sys
+from pathlib import Path
+
+from marblefold.lean_imports import leave_out
+
+leave_out()
+
+from marblefold.command_line import main  # noqa: E402
+from tools.soak.cut_loop import CutLoop  # noqa: E402
+
+_READ_EVERY = 0.03
+
+
+class _Policy(asyncio.DefaultEventLoopPolicy):
+    """Makes the loop of this process, and has it follow the cut file."""
+
+    def __init__(self, host: str, path: Path) -> None:
+        super().__init__()
+        self._host = host
+        self._path = path
+        self._text = ""
+
+    def new_event_loop(self) -> CutLoop:
+        loop = CutLoop(self._host)
+        self._read(loop)
+        return loop
+
+    def _read(self, loop: CutLoop) -> None:
+        text = self._path.read_text() if self._path.exists() else ""
+        if text != self._text:
+            self._text = text
+            loop.set_cut(text.split())
+        loop.call_later(_READ_EVERY, self._read, loop)
+
+
+if __name__ == "__main__":
+    asyncio.set_event_loop_policy(_Policy(sys.argv[1], Path(sys.argv[2])))
+    sys.exit(main(["marblefold", *sys.argv[3:]]))
--- /dev/null
+++ b/tools/soak/target.py
@@ -0,0 +1,164 @@
+"""A stand-in target that keeps to the published protocol and records what it is sent."""
+
+import asyncio
+import itertools
+import json
+import random
+import time
+
+from tools.soak.http_call import call
+from tools.soak.layout import COLD_ALLOWED, COLD_SECONDS, Machine
+
+__all__ = ["Target"]
+
+_SLOTS = 8
+_BEAT_SECONDS = 0.5
+_LIVES = itertools.count(1)
+# A heartbeat may come late by so many seconds, and some do.
+_LATE_SECONDS = 2.0
+_LATE_SHARE = 0.2
+
+
+class Target:
+    """The target of one machine, life after life.
+
+    All times are seconds of the monotonic clock.
+    """
+
+    def __init__(self, machine: Machine, ran: dict[str, int], choice: random.Random) -> None:
+        self.machine = machine
+        # How often each request ran, over all targets.
+        self._ran = ran
+        self._random = choice
+        self.instance = ""
+        self.cold_until = 0.0
+        # The largest number of requests in one second of each cold time.
+        self.worst_cold_second = 0
+        self.lost_share = 0.0
+        self._arrivals: list[float] = []
+        self._cold_since = 0.0
+        self._running = 0
+        self._numbers = itertools.count(1)
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._tasks: set[asyncio.Task] = set()
+
+    async def start(self, is_cold: bool) -> None:
+        """Begins a life; `is_cold` if it starts while there is traffic."""
+        self.instance = f"i-{next(_LIVES)}"
+        self._arrivals.clear()
+        self._numbers = itertools.count(1)
+        self.cold_until = 0.0
+        self._server = await asyncio.start_server(
+            self._serve, self.machine.host, self.machine.application
+        )
+        if is_cold:
+            self.go_cold()
+
+    async def crash(self) -> None:
+        """Ends without a word."""
+        server, self._server = self._server, None
+        if server is not None:
+            server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    def go_cold(self) -> None:
+        """Is cold from now on, and says so at once."""
+        now = time.monotonic()
+        if now > self.cold_until:
+            self._cold_since = now
+        self.cold_until = now + COLD_SECONDS
+        self._spawn(self._beat())
+
+    async def run(self) -> None:
+        """Sends heartbeats for ever."""
+        while True:
+            if self._server is not None:
+                self._spawn(self._beat())
+            await asyncio.sleep(_BEAT_SECONDS)
+
+    def _spawn(self, run) -> None:
+        task = asyncio.get_running_loop().create_task(run)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _cold_left(self) -> int:
+        return max(0, int((self.cold_until - time.monotonic()) * 1000))
+
+    async def _beat(self) -> None:
+        machine = self.machine
+        path = f"/mesh/targets/{self.instance}"
+        body = {
+            "upstream": machine.service,
+            "address": f"{machine.host}:{machine.application}",
+            "zone": machine.zone,
+            "capacity-slots": _SLOTS,
+            "state": "ready",
+            "cold-remaining-ms": self._cold_left(),
+            "call-sequence": next(self._numbers),
+        }
+        if self._random.random() < _LATE_SHARE:
+            await asyncio.sleep(self._random.uniform(0.0, _LATE_SECONDS))
+        await call((machine.host, machine.control), "PUT", path, body=json.dumps(body).encode())
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                first, *lines = head.rstrip("\r\n").split("\r\n")
+                headers = dict(line.split(": ", 1) for line in lines)
+                await reader.readexactly(int(headers.get("Content-Length", 0)))
+                answer = await self._answer(first.split(" ")[1], headers)
+                if answer is None:
+                    writer.transport.abort()
+                    return
+                writer.write(answer)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _answer(self, path: str, headers: dict[str, str]) -> bytes | None:
+        """The answer, or None if it is lost."""
+        if path == "/health":
+            return (
+                f"HTTP/1.1 200 OK\r\nInstance-Id: {self.instance}\r\n"
+                f"Server-Load: {self._running},0,{_SLOTS}\r\nCold-Ms: {self._cold_left()}\r\n"
+                "Content-Length: 0\r\n\r\n"
+            ).encode()
+        if headers.get("Expected-Instance") != self.instance:
+            return b"HTTP/1.1 421 no\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+        self._note_arrival()
+        if self._running >= _SLOTS:
+            return b"HTTP/1.1 503 no\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+        attempt = headers["Attempt-Id"]
+        self._ran[attempt] = self._ran.get(attempt, 0) + 1
+        self._running += 1
+        try:
+            await asyncio.sleep(self._random.uniform(0.002, 0.03))
+        finally:
+            self._running -= 1
+        if self._random.random() < self.lost_share:
+            return None
+        body = f"done {attempt}"
+        return (
+            f"HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nServer-Seal: s-{attempt}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n{body}"
+        ).encode()
+
+    def _note_arrival(self) -> None:
+        now = time.monotonic()
+        if now > self.cold_until:
+            self._arrivals.clear()
+            return
+        self._arrivals = [at for at in self._arrivals if now - at < 1.0 and at >= self._cold_since]
+        self._arrivals.append(now)
+        self.worst_cold_second = max(self.worst_cold_second, len(self._arrivals))
+
+    @property
+    def is_flooded(self) -> bool:
+        """Whether a second of a cold time held more requests than the target bears."""
+        return self.worst_cold_second > COLD_ALLOWED
