--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -14,6 +14,7 @@
 from marblefold.ownership.agent import OWNER_PREFIX, SiteAgent
 from marblefold.ownership.claims import Claim, Owner, Verdict, find_clashes, settle
 from marblefold.request_path.guard import Guard
+from marblefold.request_path.local_target import LocalTarget
 from marblefold.request_path.mesh_view import MeshView
 
 LISTED = ("north", "south")
@@ -204,7 +205,7 @@
     for site, epoch_of_sender in ((north, 1), (south, 2)):
         view = MeshView("node")
         view.leases = site.leases
-        guard = Guard(None, view, None)
+        guard = Guard(LocalTarget(lambda: None), view, None)
         ran += guard._is_owner(kinds.RequestHead(upstream="orders", owner_epoch=epoch_of_sender))
     return ran
 
