--- a/marblefold/proxy/program.py
+++ b/marblefold/proxy/program.py
@@ -204,6 +204,8 @@
         if config.app_address is None:
             return
         asked_at = time.monotonic()
+        if not self.guard.cold.may_probe(asked_at):
+            return
         health = await ask_health(config.app_address, path)
         log.info("target probed", healthy=health is not None)
         if health is not None:
--- a/marblefold/request_path/cold_limit.py
+++ b/marblefold/request_path/cold_limit.py
@@ -32,14 +32,23 @@
         self._forget(now)
         if not self.has_room(now, most):
             return False
-        self._arrivals.append(now)
+        self.note_offer(now)
         return True
 
+    def note_offer(self, now: float) -> None:
+        """Counts what goes to the target in any case."""
+        self._arrivals.append(now)
+
     def has_room(self, now: float, most: float) -> bool:
         """Whether one more request may go to the target now; it is not counted."""
         if now >= self.cold_until:
             return True
-        return now >= self._spent_until and self.count(now) + 1 <= most
+        return self.used(now, most) + 1 <= most
+
+    def used(self, now: float, most: float) -> float:
+        """How much of the window's `most` is used up."""
+        assumed = most if now < self._spent_until else 0.0
+        return self.count(now) + assumed
 
     def count(self, now: float) -> int:
         """How many requests went to the target within the window."""
--- a/marblefold/request_path/cold_monitor.py
+++ b/marblefold/request_path/cold_monitor.py
@@ -88,4 +88,10 @@
         count = sum(1 for at in self._written if begin <= at <= end)
         if count > bound:
             self.violations += 1
-            log.error("cold target flooded", count=count, bound=bound, since=self._cold_since)
+            log.error(
+                "cold target flooded",
+                count=count,
+                bound=bound,
+                cold_for=round(end - self._cold_since, 3),
+                violations=self.violations,
+            )
--- a/marblefold/request_path/cold_start.py
+++ b/marblefold/request_path/cold_start.py
@@ -30,6 +30,8 @@
 # doubt costs nothing.
 _PROBE_SHARE = 0.25
 _PROBE_EVERY = 0.25
+# A target that is offered all that it bears may be probed once besides.
+_PROBE_RESERVE = 1
 _DOUBT_RETRY_SECONDS = 0.1
 
 
@@ -79,7 +81,10 @@
         if now - self._written_at > _IDLE_SECONDS:
             self._target.cold.doubt(now)
         self._look_at_doubt(now)
-        return self._limit.has_room(now, cold_most(self._limits, self._bounds))
+        has_room = self._limit.has_room(now, cold_most(self._limits, self._bounds))
+        if not has_room and self._target.cold.is_in_doubt(now, self._cold_seconds):
+            self._want_probe(now)
+        return has_room
 
     def may_write(self, now: float) -> bool:
         """Whether the hop may be written at this moment; if so, it is counted.
@@ -92,6 +97,16 @@
         self._written_at = now
         return True
 
+    def may_probe(self, now: float) -> bool:
+        """Whether the target may be probed now; if so, the probe is counted as a request."""
+        most = cold_most(self._limits, self._bounds)
+        is_limited = now < self._limit.cold_until
+        if is_limited and self._limit.used(now, most) + 1 > most + _PROBE_RESERVE:
+            return False
+        self._probed_at = now
+        self._limit.note_offer(now)
+        return True
+
     def note_written(self) -> None:
         """A request was written to the target."""
         self.monitor.note_written(time.monotonic(), cold_bound(self._limits, self._bounds))
@@ -115,9 +130,11 @@
         if not state.is_in_doubt(now, seconds):
             return
         most = cold_most(self._limits, self._bounds)
-        is_dear = self._limit.count(now) >= _PROBE_SHARE * most
-        if is_dear and now - self._probed_at >= _PROBE_EVERY:
-            self._probed_at = now
+        if self._limit.count(now) >= _PROBE_SHARE * most:
+            self._want_probe(now)
+
+    def _want_probe(self, now: float) -> None:
+        if now - self._probed_at >= _PROBE_EVERY:
             self.on_probe_wanted()
 
     def _note_report(self, report: ColdReport) -> None:
--- a/marblefold/request_path/cold_state.py
+++ b/marblefold/request_path/cold_state.py
@@ -45,6 +45,7 @@
     def __init__(self) -> None:
         self._cold_until = dict.fromkeys(ReportSource, -math.inf)
         self._heartbeat_at = -math.inf
+        self._health_asked_at = -math.inf
         self._doubted_at = -math.inf
 
     @property
@@ -53,11 +54,17 @@
         return max(self._cold_until.values())
 
     def take(self, report: ColdReport) -> None:
-        """Applies a report; those of one source must come in their order."""
+        """Applies a report; heartbeats must come in their order.
+
+        A health answer is ignored after one whose question came later.
+        """
+        if report.made_after < self._health_asked_at and report.source is ReportSource.HEALTH:
+            return
         self._cold_until[report.source] = report.at + report.left.total_seconds()
         if report.source is ReportSource.HEARTBEAT:
             self._heartbeat_at = report.at
             return
+        self._health_asked_at = report.made_after
         # It is newer than each heartbeat that was heard before its question.
         if self._heartbeat_at < report.made_after:
             self._cold_until[ReportSource.HEARTBEAT] = -math.inf
--- a/tests/simulated_cold.py
+++ b/tests/simulated_cold.py
@@ -82,7 +82,9 @@
         self.guard.cold.begin(self.stage.now)
 
     def _count_probe(self):
-        self.probes += 1
+        if self.guard.cold.may_probe(self.stage.now):
+            self.probes += 1
+            self.written.append(self.stage.now)
 
     def configure(self):
         """The proxy beside the target has got the configuration."""
--- a/tests/test_cold_targets.py
+++ b/tests/test_cold_targets.py
@@ -11,6 +11,8 @@
 def path():
     made = ColdPath()
     yield made
+    # The invariant that the programs themselves count.
+    assert made.guard.cold.monitor.violations == 0
     made.close()
 
 
@@ -78,6 +80,7 @@
 
 def test_a_health_answer_ends_a_doubt_if_it_was_asked_for_after_it(path):
     path.warm_up()
+    path.spend(0.2)
     asked_before = path.stage.now - 0.1
     path.guard.cold.doubt(path.stage.now, "zone taken back")
     path.answer_health(0.0, asked_before)
@@ -153,6 +156,27 @@
     assert path.most_in_a_second(began, path.stage.now) <= 2
 
 
+def test_what_a_doubt_refuses_has_the_target_probed(path):
+    """A proxy that has just started refuses everything; a probe may end that at once."""
+    path.configure()
+    path.beat(0.0)
+    path.ask(1)
+    assert path.probes == 1
+    path.answer_health(0.0, path.stage.now)
+    began = press(path, 0.5)
+    assert path.most_in_a_second(began, path.stage.now) > ALLOWED
+
+
+def test_an_answer_to_an_earlier_probe_does_not_replace_one_to_a_later(path):
+    path.warm_up()
+    asked = path.stage.now
+    path.spend(0.3)
+    path.answer_health(3.0, path.stage.now)
+    path.answer_health(0.0, asked)
+    began = press(path, 2.9)
+    assert path.most_in_a_second(began, began + 2.9) <= ALLOWED
+
+
 def test_a_quiet_target_is_not_probed(path):
     path.warm_up()
     for _second in range(20):
