--- a/marblefold/request_path/cold_monitor.py
+++ b/marblefold/request_path/cold_monitor.py
@@ -2,8 +2,8 @@
 
 In no second of the time during which a target was cold may more requests be written to
 it than its bound.  The guard's own limit acts on what it believes when a request is
-admitted; this monitor also looks back: a report that a target is cold tells since when,
-and what was written between then and the report is checked too.
+admitted; this monitor also looks back: a health answer that a target is cold tells since
+when, and what was written between then and the answer is checked too.
 """
 
 import math
@@ -11,7 +11,7 @@
 from datetime import timedelta
 
 from marblefold.logs import log
-from marblefold.request_path.cold_state import ColdReport
+from marblefold.request_path.cold_state import ColdReport, ReportSource
 
 __all__ = ["ColdMonitor"]
 
@@ -57,8 +57,11 @@
             self._cold_until = min(self._cold_until, report.at)
             return
         if report.at > self._cold_until:
-            # It went cold before it could say so: what was written since then counts.
-            self._cold_since = report.at - max(0.0, cold_start.total_seconds() - left)
+            self._cold_since = report.at
+            if report.source is ReportSource.HEALTH:
+                # It went cold before it was asked: what was written since then counts.  A
+                # heartbeat may be seconds old, and tells nothing of when it went cold.
+                self._cold_since -= max(0.0, cold_start.total_seconds() - left)
         self._cold_until = report.at + left
         self._check_all(bound)
 
