--- a/marblefold/proxy/program.py
+++ b/marblefold/proxy/program.py
@@ -21,16 +21,16 @@
 from marblefold.node_config.reading import NodeConfig
 from marblefold.node_config.watching import ConfigWatch
 from marblefold.proxy.beats import BeatCalls
-from marblefold.proxy.health_probe import ask_health
 from marblefold.proxy.lease_client import LeaseClient
 from marblefold.proxy.leaving import leave_in_order
 from marblefold.proxy.notices import NoticeMaker
 from marblefold.proxy.registry_follower import RegistryFollower
+from marblefold.proxy.target_prober import TargetProber
 from marblefold.proxy.traffic_teller import TrafficTeller
 from marblefold.request_path.executor import RequestExecutor
 from marblefold.request_path.guard import Guard
 from marblefold.request_path.hop_sender import HopSender
-from marblefold.request_path.local_target import LocalTarget, TargetState
+from marblefold.request_path.local_target import LocalTarget
 from marblefold.request_path.mesh_view import MeshView
 from marblefold.request_path.surroundings import Surroundings
 from marblefold.request_path.target_selection import TargetSelector
@@ -40,7 +40,6 @@
 __all__ = ["ProxyProgram"]
 
 _OVERDUE_LOOK = timedelta(seconds=10)
-_TABLE_LOOK_SECONDS = 0.05
 # The shutdown is announced to peers after this share of the grace period.
 _ANNOUNCE_SHARE = 0.13
 
@@ -100,10 +99,11 @@
         ready.add(*wire_names.READINESS_CALL, self._readiness)
         self._control = HttpServer(calls.handle)
         self._readiness_server = HttpServer(ready.handle)
-        self.guard.cold.on_probe_wanted = self._probe_target
+        self._prober = TargetProber(
+            lambda: watch.config, self.view, self.target, self.guard.cold, self._tasks
+        )
         self.view.on_own_notice = self._on_own_notice
         self.view.on_configuration = self._on_configuration
-        self.view.on_evacuation = self._on_evacuation
         self._stop = asyncio.Event()
 
     async def run(self) -> None:
@@ -134,7 +134,7 @@
             self._readiness_server.run(),
             self._hops.run(),
             self.guard.run(),
-            self._find_target(),
+            self._prober.run(),
             self._look_for_overdue(),
             self._traffic.run(),
         ):
@@ -191,28 +191,6 @@
             return json_answer(503, {"ready": False})
         return json_answer(200, {"ready": True})
 
-    async def _find_target(self) -> None:
-        """After our own start the target may already be running: probe it once."""
-        while self.view.table is None:
-            await asyncio.sleep(_TABLE_LOOK_SECONDS)
-        # Even if a heartbeat came first: that may have been on its way for long.
-        if self.target.state is TargetState.UNKNOWN or self.guard.cold.is_in_doubt:
-            self._probe_target()
-
-    async def _probe(self, path: str) -> None:
-        config = self._watch.config
-        if config.app_address is None:
-            return
-        asked_at = time.monotonic()
-        if not self.guard.cold.may_probe(asked_at):
-            return
-        health = await ask_health(config.app_address, path)
-        log.info("target probed", healthy=health is not None)
-        if health is not None:
-            self.target.take_health(
-                health.instance, config.upstream, config.zone, health.slots, health.cold, asked_at
-            )
-
     def _seed_registries(self) -> list[str]:
         config = self._watch.config
         return [inner_address(seed.host, config, REGISTRY) for seed in config.seeds]
@@ -242,20 +220,6 @@
 
         self.executor.hops = add_partner_hops(self._hops, self.view, self._tasks)
 
-    def _on_evacuation(self, zone: str, is_on: bool) -> None:
-        if is_on or zone != self._config.zone:
-            return
-        self.guard.cold.doubt(time.monotonic(), "zone taken back")
-        if self.target.state is TargetState.READY:
-            self._probe_target()
-
-    def _probe_target(self) -> None:
-        """Asks the target for its health, if it is known where to ask."""
-        table = self.view.table
-        known = table.upstreams.get(self._config.upstream) if table else None
-        if known is not None:
-            self._tasks.start(self._probe(known.health_check_path))
-
     def _on_config(self, config: NodeConfig) -> None:
         self.executor.caller = config.upstream
         if config.app_address != self._config.app_address:
--- a/marblefold/request_path/guard.py
+++ b/marblefold/request_path/guard.py
@@ -21,7 +21,7 @@
 from marblefold.request_path.local_target import LocalTarget, TargetState
 from marblefold.request_path.mesh_view import MeshView
 from marblefold.request_path.offered_hops import OfferedHops
-from marblefold.request_path.outcome import NO_SLOT, HopOutcome
+from marblefold.request_path.outcome import NO_SLOT, HopOutcome, refuse
 from marblefold.request_path.running_work import Run, RunningWork
 from marblefold.request_path.slot_queue import SlotQueue, Turn
 from marblefold.request_path.target_caller import TargetCaller
@@ -161,10 +161,10 @@
             patience = max(_LEAST_PATIENCE, _BODY_AIM_SHARE * head.aim_left_ms / 1000.0)
             step = await self._intake.take(exchange, head, deadline - came, patience)
             if step:
-                return _refuse(step, _REFUSED_RETRY_SECONDS)
+                return refuse(step, _REFUSED_RETRY_SECONDS)
         if not await self.slots.take(turn, longest):
             wait = max(_REFUSED_RETRY_SECONDS, self.slots.expected_wait(turn))
-            return _refuse(NO_SLOT, wait)
+            return refuse(NO_SLOT, wait)
         started = time.monotonic()
         run = Run(head.attempt_id, head.repeat_run or head.attempt_number > 1, span)
         if span is not None:
@@ -178,9 +178,9 @@
                 return refusal
             left = deadline - started
             if left < _LEAST_SECONDS:
-                return _refuse("deadline", 0.0)
+                return refuse("deadline", 0.0)
             if not self.cold.has_room(head, started):
-                return _refuse(COLD_STEP, self.cold.retry_after(started))
+                return refuse(COLD_STEP, self.cold.retry_after(started))
             head.deadline_left_ms = max(1, int(left * 1000))
             self._offered.begin(exchange, started)
             self.work.begin(run)
@@ -190,42 +190,43 @@
             self._offered.end(exchange)
             self.work.end(run)
             self.slots.give_back()
+        return self._conclude(answer, started, time.monotonic())
+
+    def _conclude(self, answer, started: float, now: float):
+        """The answer with the time that the target took, or with when to come back."""
+        if answer.step == COLD_STEP:
+            return refuse(COLD_STEP, self.cold.retry_after(now))
         if answer.outcome == HopOutcome.NEVER_OFFERED:
-            if answer.step == COLD_STEP:
-                return _refuse(COLD_STEP, self.cold.retry_after(time.monotonic()))
             if answer.step == CONNECT_STEP:
-                self._unreachable_until = time.monotonic() + _SHUN_SECONDS
+                self._unreachable_until = now + _SHUN_SECONDS
             answer.retry_after_ms = int(_SHUN_SECONDS * 1000)
-        self._learn(answer, time.monotonic() - started)
-        return answer
-
-    def _learn(self, answer, seconds: float) -> None:
-        answer.service_us = int(seconds * 1e6)
+        answer.service_us = int((now - started) * 1e6)
         if answer.outcome == HopOutcome.ANSWERED:
-            self.slots.note_service(seconds)
+            self.slots.note_service(now - started)
+        return answer
 
     def _find_refusal(self, head):
         """The refusal of a hop that must not go to the target, or None."""
         target = self._target
         if self._caller is None or target.instance != head.expected_instance:
-            return _refuse("another instance", 0.0)
+            return refuse("another instance", 0.0)
         if time.monotonic() < self._unreachable_until:
-            return _refuse("target out of reach", _SHUN_SECONDS)
+            return refuse("target out of reach", _SHUN_SECONDS)
         if target.upstream != head.upstream:
-            return _refuse("another upstream", 0.0)
+            return refuse("another upstream", 0.0)
         if not self._is_owner(head):
-            return _refuse("another owner", _REFUSED_RETRY_SECONDS)
+            return refuse("another owner", _REFUSED_RETRY_SECONDS)
         if target.state is TargetState.DRAINING:
             # Peers may not know of the drain yet; other targets can serve meanwhile.
             share = self._bounds.drain_time.total_seconds() * _DRAIN_SHARE
             if not head.last_resort or time.monotonic() - target.drain_since > share:
-                return _refuse("draining", 0.0)
+                return refuse("draining", 0.0)
         elif self._leaving.is_too_late(time.monotonic(), head.last_resort):
-            return _refuse("leaving", 0.0)
+            return refuse("leaving", 0.0)
         elif target.state is not TargetState.READY:
-            return _refuse(target.state.value, 0.0)
+            return refuse(target.state.value, 0.0)
         if target.zone in self._view.evacuated:
-            return _refuse("evacuated", 0.0)
+            return refuse("evacuated", 0.0)
         limit = find_slots(self._view, target)
         if self.slots.limit != limit:
             self.slots.set_limit(limit)
@@ -243,9 +244,3 @@
             return True
         epoch = self._view.leases.epoch(head.upstream, time.monotonic())
         return epoch != 0 and epoch == head.owner_epoch
-
-
-def _refuse(step: str, retry_after: float):
-    return kinds.AnswerHead(
-        outcome=HopOutcome.NEVER_OFFERED, step=step, retry_after_ms=int(retry_after * 1000)
-    )
--- a/marblefold/request_path/outcome.py
+++ b/marblefold/request_path/outcome.py
@@ -4,8 +4,9 @@
 from typing import NamedTuple
 
 from marblefold.http_connections.answer import Answer
+from marblefold.inner_protocol.messages import kinds
 
-__all__ = ["HopOutcome", "HopResult", "NO_SLOT", "TargetLoad"]
+__all__ = ["NO_SLOT", "HopOutcome", "HopResult", "TargetLoad", "refuse"]
 
 # The step of a hop that was refused only because no slot was free.
 NO_SLOT = "no slot in time"
@@ -41,3 +42,10 @@
     step: str = ""
     load: TargetLoad | None = None
     service_seconds: float = 0.0
+
+
+def refuse(step: str, retry_after: float):
+    """The AnswerHead of a hop that was not offered; `retry_after` is in seconds."""
+    return kinds.AnswerHead(
+        outcome=HopOutcome.NEVER_OFFERED, step=step, retry_after_ms=int(retry_after * 1000)
+    )
