--- a/marblefold/proxy/health_probe.py
+++ b/marblefold/proxy/health_probe.py
@@ -12,7 +12,7 @@
 from marblefold.http_connections.target_connections import TargetConnections
 from marblefold.node_config.reading import Address
 
-__all__ = ["Health", "ask_health"]
+__all__ = ["Health", "ask_health", "read_cold"]
 
 _PROBE_SECONDS = 1.0
 
@@ -46,9 +46,18 @@
         return None
     load = (find_header(answer.headers, wire_names.SERVER_LOAD) or b"").split(b",")
     slots = int(load[2]) if len(load) == 3 and load[2].strip().isdigit() else 0
-    cold = find_header(answer.headers, wire_names.COLD_MS) or b"0"
+    cold = read_cold(find_header(answer.headers, wire_names.COLD_MS))
+    if cold is None:
+        return None
+    return Health(instance.decode("latin-1"), slots, cold)
+
+
+def read_cold(value: bytes | None) -> timedelta | None:
+    """How much longer the target is cold; None if it says so in a way that cannot be read.
+
+    A target that does not mention it is warm.
+    """
     try:
-        left = timedelta(milliseconds=float(cold))
-    except ValueError:
-        left = timedelta(0)
-    return Health(instance.decode("latin-1"), slots, left)
+        return timedelta(milliseconds=float(value or b"0"))
+    except (ValueError, OverflowError):
+        return None
