--- a/tools/soak/layout.py
+++ b/tools/soak/layout.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 __all__ = [
+    "BEAT_SECONDS",
     "COLD_ALLOWED",
     "COLD_SECONDS",
     "SERVICES",
@@ -18,6 +19,7 @@
 ZONES = ("hall-a", "hall-b", "hall-c")
 SERVICES = ("quotes", "orders")
 COLD_SECONDS = 3.0
+BEAT_SECONDS = 1.5
 _COLD_PER_SECOND = 6.0
 # By the bounds below: 1.5 times that and 5 more.
 COLD_ALLOWED = 14
@@ -38,7 +40,7 @@
 bounds.evacuation-ms=5000
 limits.memory-mb=300
 limits.max-file-descriptors=4000
-heartbeat-interval-ms=500
+heartbeat-interval-ms=1500
 fault-tolerance.machine-losses=1
 """
 
--- a/tools/soak/target.py
+++ b/tools/soak/target.py
@@ -7,12 +7,11 @@
 import time
 
 from tools.soak.http_call import call
-from tools.soak.layout import COLD_ALLOWED, COLD_SECONDS, Machine
+from tools.soak.layout import BEAT_SECONDS, COLD_ALLOWED, COLD_SECONDS, Machine
 
 __all__ = ["Target"]
 
 _SLOTS = 8
-_BEAT_SECONDS = 0.5
 _LIVES = itertools.count(1)
 # A heartbeat may come late by so many seconds, and some do.
 _LATE_SECONDS = 2.0
@@ -44,7 +43,9 @@
         self._tasks: set[asyncio.Task] = set()
 
     async def start(self, is_cold: bool) -> None:
-        """Begins a life; `is_cold` if it starts while there is traffic."""
+        """Begins a life, unless one goes on; `is_cold` if it starts while there is traffic."""
+        if self._server is not None:
+            return
         self.instance = f"i-{next(_LIVES)}"
         self._arrivals.clear()
         self._numbers = itertools.count(1)
@@ -76,7 +77,7 @@
         while True:
             if self._server is not None:
                 self._spawn(self._beat())
-            await asyncio.sleep(_BEAT_SECONDS)
+            await asyncio.sleep(BEAT_SECONDS)
 
     def _spawn(self, run) -> None:
         task = asyncio.get_running_loop().create_task(run)
--- a/tools/soak/troubles.py
+++ b/tools/soak/troubles.py
@@ -39,6 +39,7 @@
             self._kill_all_core,
             self._lose_answers,
             self._replace_target,
+            self._lose_power,
         ]
         while loop.time() - began < seconds:
             await asyncio.sleep(self._random.uniform(0.3, 1.0))
@@ -64,6 +65,17 @@
         core = [*self._fleet.stores, *self._fleet.registries]
         await self._restart([node for node in core if node not in self._busy], 2.5)
 
+    async def _lose_power(self) -> None:
+        """Of all machines at once; targets come back cold, and all disks stay."""
+        nodes = [node for node in self._fleet.nodes if node not in self._busy]
+        for target in self._targets:
+            await target.crash()
+        restart = asyncio.create_task(self._restart(list(nodes), 1.0))
+        await asyncio.sleep(self._random.uniform(0.1, 1.0))
+        for target in self._targets:
+            await target.start(is_cold=True)
+        await restart
+
     async def _restart(self, nodes: list[Node | None], longest: float) -> None:
         chosen = [node for node in nodes if node is not None]
         self._busy.update(chosen)
