--- a/tests/simulated_cold.py
+++ b/tests/simulated_cold.py
@@ -92,11 +92,28 @@
 
     def beat(self, cold_seconds):
         """The target tells how much longer it is cold."""
+        self.deliver(self.make_beat(cold_seconds))
+
+    def make_beat(self, cold_seconds):
+        """The target's next heartbeat, still on its way."""
         self._beats += 1
         cold = timedelta(seconds=cold_seconds)
-        beat = Beat("i1", "quotes", "", "hall", 12, False, cold, self._beats)
+        return Beat("i1", "quotes", "", "hall", 12, False, cold, self._beats)
+
+    def deliver(self, beat):
+        """The proxy hears a heartbeat."""
         self.stage.call(self.target.take_beat, beat)
 
+    def restart_proxy(self):
+        """The process beside the target is killed, and another one starts."""
+        links, self._links = self._links, []
+        for near, far in links:
+            self.stage.call(near.reset)
+            self.stage.call(far.reset)
+        for line in self._lines:
+            self.stage.call(line.transport.reset)
+        self.start_proxy()
+
     def answer_health(self, cold_seconds, asked_at):
         """The target's answer to a probe arrives."""
         cold = timedelta(seconds=cold_seconds)
