--- a/marblefold/register_store/program.py
+++ b/marblefold/register_store/program.py
@@ -16,20 +16,18 @@
 from marblefold.logs import log
 from marblefold.node_config.watching import ConfigWatch
 from marblefold.register_store.acceptor import META_RECORD, VIEW_REGISTER, Acceptor
-from marblefold.register_store.ballots import AcceptedState, read_accepted_state
+from marblefold.register_store.ballots import read_accepted_state
 from marblefold.register_store.call_kinds import Outcome, RegisterCallKind
-from marblefold.register_store.changes import RegisterContent
 from marblefold.register_store.chosen_registers import ChosenRegisters
 from marblefold.register_store.heartbeat import answer_heartbeat
-from marblefold.register_store.orders import read_order
 from marblefold.register_store.peer_calls import StorePeers
 from marblefold.register_store.proposer import Proposer
 from marblefold.register_store.register_files import RegisterFiles
+from marblefold.register_store.register_service import RegisterService
 from marblefold.register_store.replica import Replica
 
 __all__ = ["StoreProgram", "open_acceptor"]
 
-_CHANGE_TIMEOUT_SECONDS = 1.3
 _DISK_RETRY_INTERVAL_SECONDS = 0.3
 # Leaves time within the termination grace period for proposals in progress to end.
 _HANDOVER_TIMEOUT_SECONDS = 4.0
@@ -57,6 +55,7 @@
         self._replica = Replica(
             self._acceptor, self._peers, self._proposer, self._chosen, seeds, config.machine_losses
         )
+        self._service = RegisterService(self._acceptor, self._peers, self._proposer, self._replica)
         self._stop = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -124,18 +123,7 @@
             return messages_pb2.RegisterAnswer(outcome=Outcome.APPLIED)
         if call.kind == RegisterCallKind.HEARTBEAT:
             return answer_heartbeat(self._acceptor)
-        order = read_order(call)
-        if order is None:
-            return messages_pb2.RegisterAnswer(outcome=Outcome.UNKNOWN, reason="no such call")
-        try:
-            state = await self._proposer.change(
-                call.register, order.change, _CHANGE_TIMEOUT_SECONDS
-            )
-        except MeshError as error:
-            return messages_pb2.RegisterAnswer(outcome=Outcome.UNKNOWN, reason=str(error))
-        self._publish_chosen(call.register, state)
-        outcome = order.outcome_of(RegisterContent(state.number, state.value, state.orders))
-        return messages_pb2.RegisterAnswer(outcome=outcome, number=state.number, value=state.value)
+        return await self._service.execute(call)
 
     def _send_view(self, connection: PeerConnection) -> None:
         """Sends the current view; the first one was never proposed, so no register holds it."""
@@ -151,12 +139,6 @@
                 ),
             )
 
-    def _publish_chosen(self, register: str, state: AcceptedState) -> None:
-        self._replica.learn_chosen(register, state)
-        view = self._acceptor.view
-        for peer in view.members if view else ():
-            self._peers.notify_chosen(peer, register, state)
-
 
 def open_acceptor(
     address: str,
--- a/tests/simulated_core.py
+++ b/tests/simulated_core.py
@@ -14,6 +14,7 @@
 from marblefold.register_store.chosen_registers import ChosenRegisters
 from marblefold.register_store.peer_calls import StorePeers
 from marblefold.register_store.proposer import Proposer
+from marblefold.register_store.register_service import RegisterService
 from marblefold.register_store.replica import Replica
 from marblefold.register_store.store_timing import StoreTiming
 from tests.simulated_clock import _Selector
@@ -138,6 +139,7 @@
             self.acceptor, peers, self.proposer, ChosenRegisters(), self.seeds, core.losses, timing
         )
         self.peers = peers
+        self.service = RegisterService(self.acceptor, peers, self.proposer, self.replica)
         self._spawn(self.replica.run())
 
     def stop(self):
@@ -161,6 +163,10 @@
         """Serves an order as the program does: proposes, learns the result, notifies the others."""
         return await self._spawn(self._change(register, change, seconds))
 
+    async def execute(self, call):
+        """Serves the call of a registry; returns the answer."""
+        return await self._spawn(self.service.execute(call))
+
     async def _change(self, register, change, seconds):
         state = await self.proposer.change(register, change, seconds)
         self.replica.learn_chosen(register, state)
--- a/tests/simulated_machines.py
+++ b/tests/simulated_machines.py
@@ -15,6 +15,7 @@
 from marblefold.register_store.peer_calls import StorePeers
 from marblefold.register_store.program import StoreProgram
 from marblefold.register_store.proposer import Proposer
+from marblefold.register_store.register_service import RegisterService
 from marblefold.register_store.replica import Replica
 from marblefold.registry.catalogue import Catalogue
 from marblefold.registry.command_router import CommandRouter
@@ -99,15 +100,10 @@
             peers, f"{self.name}/{self.acceptor.generation}", clock=self.cluster.clock
         )
         self.replica = Replica(self.acceptor, peers, proposer, self.chosen, names)
+        service = RegisterService(self.acceptor, peers, proposer, self.replica)
         # The real program answers, without its sockets and files.
         self.program = StoreProgram.__new__(StoreProgram)
-        vars(self.program).update(
-            _acceptor=self.acceptor,
-            _peers=peers,
-            _proposer=proposer,
-            _chosen=self.chosen,
-            _replica=self.replica,
-        )
+        vars(self.program).update(_acceptor=self.acceptor, _chosen=self.chosen, _service=service)
 
     def make_registry(self, names):
         self.contact = QuorumContact(self.cluster.clock)
