Stores count ballots by register and result, and log the counts

The logs could not tell why reads of the configuration found no majority: who was outbid, in which phase, how long a ballot took and how long a change waited for the one before. Each store now logs 'register statistics' every ten seconds in which there were any.

The logic of ballots is unchanged.

--- a/marblefold/register_store/program.py
+++ b/marblefold/register_store/program.py
@@ -29,6 +29,7 @@
 __all__ = ["StoreProgram", "open_acceptor"]
 
 _DISK_RETRY_INTERVAL_SECONDS = 0.3
+_STATISTICS_INTERVAL_SECONDS = 10.0
 # Leaves time within the termination grace period for proposals in progress to end.
 _HANDOVER_TIMEOUT_SECONDS = 4.0
 
@@ -72,7 +73,10 @@
             inner=self._address,
             standing=self._acceptor.voting_status.value,
         )
-        tasks = [loop.create_task(self._watch.run()), loop.create_task(self._replica.run())]
+        tasks = [
+            loop.create_task(background)
+            for background in (self._watch.run(), self._replica.run(), self._log_statistics())
+        ]
         await self._stop.wait()
         await self._replica.hand_over(_HANDOVER_TIMEOUT_SECONDS)
         # Waits for proposals in progress, so that clients learn their outcome.
@@ -81,6 +85,13 @@
         for task in tasks:
             task.cancel()
 
+    async def _log_statistics(self) -> None:
+        while True:
+            await asyncio.sleep(_STATISTICS_INTERVAL_SECONDS)
+            report = self._proposer.statistics.take_report()
+            if report is not None:
+                log.info("register statistics", **report)
+
     def on_call(self, connection: PeerConnection, number: int, payload: bytes) -> None:
         """Answers a call of a store or a registry."""
         message = unpack_message(payload)
--- a/marblefold/register_store/proposer.py
+++ b/marblefold/register_store/proposer.py
@@ -4,37 +4,29 @@
 import random
 import time
 from collections.abc import Awaitable, Callable
-from typing import NamedTuple, Protocol
+from typing import NamedTuple
 
 from marblefold.errors import MeshError
 from marblefold.inner_protocol.messages import messages_pb2
+from marblefold.register_store.ballot_phase import BallotPhase
 from marblefold.register_store.ballots import NO_BALLOT, AcceptedState, Ballot, read_accepted_state
 from marblefold.register_store.changes import Change, RegisterContent
+from marblefold.register_store.concurrent_calls import PeerCaller
 from marblefold.register_store.generations import NO_GENERATION, is_superseded, later_generation
 from marblefold.register_store.peer_call_kinds import CallKind
-from marblefold.register_store.view import View, read_view
+from marblefold.register_store.register_statistics import BallotResult, RegisterStatistics
+from marblefold.register_store.view import View
 
-__all__ = ["PeerCaller", "Proposer"]
+__all__ = ["Proposer"]
 
-_PHASE_TIMEOUT_SECONDS = 0.7
 _RETRY_DELAY_RANGE_SECONDS = (0.005, 0.04)
 
 
-class PeerCaller(Protocol):
-    """How a proposer reaches the acceptors, including the local one."""
+class _BallotEnd(NamedTuple):
+    """How a ballot ended, and the state that a majority holds if it was won."""
 
-    async def call(self, peer: str, call: messages_pb2.StoreCall) -> messages_pb2.StoreAnswer: ...
-
-    def learn_view(self, view: View) -> None: ...
-
-    def current_view(self) -> View | None: ...
-
-
-class _Promises(NamedTuple):
-    """The promises of a majority: their generations by peer and their accepted states."""
-
-    generations: dict[str, str]
-    states: list[AcceptedState]
+    result: BallotResult
+    state: AcceptedState | None = None
 
 
 class Proposer:
@@ -51,6 +43,7 @@
         self._name = name
         self._sleep = sleep
         self._clock = clock
+        self.statistics = RegisterStatistics()
         self._counter = 0
         self._register_locks: dict[str, asyncio.Lock] = {}
 
@@ -60,111 +53,83 @@
         seconds: how long to retry; at least one ballot is run.
         Raises a MeshError if no majority answers in time, or no view is known.
         """
-        end = self._clock() + seconds
+        asked_at = self._clock()
+        end = asked_at + seconds
         lock = self._register_locks.setdefault(register, asyncio.Lock())
         # Concurrent ballots of one proposer would only outbid each other.
         async with lock:
+            self.statistics.note_wait(self._clock() - asked_at)
             while True:
                 view = self._peers.current_view()
                 if view is None:
                     raise MeshError("propose", "no view known")
-                state = await self._run_ballot(view, register, change)
+                began_at = self._clock()
+                result, state = await self._run_ballot(view, register, change)
+                self.statistics.count_ballot(register, result, self._clock() - began_at)
                 if state is not None:
                     return state
                 delay = random.uniform(*_RETRY_DELAY_RANGE_SECONDS)
                 if self._clock() + delay >= end:
-                    raise MeshError("propose", f"no majority for {register}")
+                    raise MeshError("propose", f"no majority for {register}: {result}")
                 await self._sleep(delay)
 
-    async def _run_ballot(self, view: View, register: str, change: Change) -> AcceptedState | None:
+    async def _run_ballot(self, view: View, register: str, change: Change) -> _BallotEnd:
         self._counter += 1
         ballot = Ballot(self._counter, self._name)
-        promises = await self._prepare(view, register, ballot)
-        if promises is None:
-            return None
-        newest = max(promises.states, key=lambda state: state.ballot)
+        prepare = await self._run_phase(
+            view,
+            list(view.members),
+            messages_pb2.StoreCall(
+                kind=CallKind.PREPARE, view=view.pack(), register=register, ballot=ballot.pack()
+            ),
+        )
+        promises = _drop_lost_promises(prepare.agreed)
+        if len(promises) < view.majority:
+            return _BallotEnd(
+                BallotResult.OUTBID_IN_PREPARE
+                if prepare.was_outbid
+                else BallotResult.NO_MAJORITY_IN_PREPARE
+            )
+        states = [read_accepted_state(answer.accepted[0]) for answer in promises.values()]
+        newest = max(states, key=lambda state: state.ballot)
         current = RegisterContent(newest.number, newest.value, newest.orders)
         proposed = change(current)
         # A majority that accepted the value under one ballot needs no second phase.
         # A copy made below a higher promise does not count as accepted.
         is_accepted_by_majority = all(
-            state.ballot == newest.ballot and state.promised <= state.ballot
-            for state in promises.states
+            state.ballot == newest.ballot and state.promised <= state.ballot for state in states
         )
         if proposed == current and is_accepted_by_majority:
-            return newest
-        call = messages_pb2.StoreCall(
-            kind=CallKind.ACCEPT,
-            view=view.pack(),
-            register=register,
-            ballot=ballot.pack(),
-            number=proposed.number,
-            value=proposed.value,
-            orders=proposed.orders,
-            lives=promises.generations,
-        )
-        answers = await self._collect_answers(list(promises.generations), call, view.majority)
-        if len(answers) < view.majority:
-            return None
-        return AcceptedState(NO_BALLOT, ballot, *proposed)
-
-    async def _prepare(self, view: View, register: str, ballot: Ballot) -> _Promises | None:
-        call = messages_pb2.StoreCall(
-            kind=CallKind.PREPARE, view=view.pack(), register=register, ballot=ballot.pack()
-        )
-        answers = _drop_lost_promises(
-            await self._collect_answers(list(view.members), call, view.majority)
+            return _BallotEnd(BallotResult.UNCHANGED, newest)
+        accept = await self._run_phase(
+            view,
+            list(promises),
+            messages_pb2.StoreCall(
+                kind=CallKind.ACCEPT,
+                view=view.pack(),
+                register=register,
+                ballot=ballot.pack(),
+                number=proposed.number,
+                value=proposed.value,
+                orders=proposed.orders,
+                lives={peer: answer.life for peer, answer in promises.items()},
+            ),
         )
-        if len(answers) < view.majority:
-            return None
-        return _Promises(
-            {peer: answer.life for peer, answer in answers.items()},
-            [read_accepted_state(answer.accepted[0]) for answer in answers.values()],
-        )
-
-    async def _collect_answers(
-        self,
-        peers: list[str],
-        call: messages_pb2.StoreCall,
-        quorum: int,
-    ) -> dict[str, messages_pb2.StoreAnswer]:
-        """Returns the agreeing answers, once they are enough or can no longer be."""
-        loop = asyncio.get_running_loop()
-        tasks = {loop.create_task(self._peers.call(peer, call)): peer for peer in peers}
-        agreed: dict[str, messages_pb2.StoreAnswer] = {}
-        pending = set(tasks)
-        end = self._clock() + _PHASE_TIMEOUT_SECONDS
-        while pending and len(agreed) < quorum and len(agreed) + len(pending) >= quorum:
-            remaining = end - self._clock()
-            if remaining <= 0:
-                break
-            done, pending = await asyncio.wait(
-                pending, timeout=remaining, return_when=asyncio.FIRST_COMPLETED
+        if len(accept.agreed) < view.majority:
+            return _BallotEnd(
+                BallotResult.OUTBID_IN_ACCEPT
+                if accept.was_outbid
+                else BallotResult.NO_MAJORITY_IN_ACCEPT
             )
-            # Processed in the order of peers, so that simulated runs are reproducible.
-            for task, peer in tasks.items():
-                if task in done:
-                    self._process_answer(peer, task, agreed)
-        # The remaining calls go on: each that arrives makes one more copy.
-        for task in pending:
-            task.add_done_callback(_retrieve_exception)
-        return agreed
-
-    def _process_answer(
-        self,
-        peer: str,
-        task: asyncio.Task[messages_pb2.StoreAnswer],
-        agreed: dict[str, messages_pb2.StoreAnswer],
-    ) -> None:
-        if task.exception() is not None:
-            return
-        answer = task.result()
-        if answer.agreed:
-            agreed[peer] = answer
-            return
-        self._counter = max(self._counter, answer.promised.counter)
-        if answer.view:
-            self._peers.learn_view(read_view(answer.view))
+        return _BallotEnd(BallotResult.CHOSEN, AcceptedState(NO_BALLOT, ballot, *proposed))
+
+    async def _run_phase(
+        self, view: View, names: list[str], call: messages_pb2.StoreCall
+    ) -> BallotPhase:
+        phase = BallotPhase(self._peers, view.majority, self._clock)
+        await phase.run(names, call)
+        self._counter = max(self._counter, phase.promised_counter)
+        return phase
 
 
 def _drop_lost_promises(
@@ -185,9 +150,3 @@
         for peer, answer in answers.items()
         if not is_superseded(answer.life, known.get(peer, NO_GENERATION))
     }
-
-
-def _retrieve_exception(task: asyncio.Task[messages_pb2.StoreAnswer]) -> None:
-    # Otherwise asyncio logs that the exception was never retrieved.
-    if not task.cancelled():
-        task.exception()
