--- a/tools/soak/fleet.py
+++ b/tools/soak/fleet.py
@@ -1,9 +1,11 @@
 """Starts, partitions, signals and kills the programs of a soak test, and no other processes."""
 
 import asyncio
+import contextlib
 import os
 import signal
 import sys
+from collections.abc import Iterable
 from pathlib import Path
 
 from tools.soak.layout import Machine, write_config
@@ -14,31 +16,52 @@
 class Node:
     """One program on one machine."""
 
-    def __init__(self, machine: Machine, role: str, folder: Path, core: list[Machine]) -> None:
+    def __init__(
+        self,
+        machine: Machine,
+        role: str,
+        folder: Path,
+        seeds: list[Machine],
+        machine_losses: int = 1,
+    ) -> None:
         self.machine = machine
         self.role = role
         self.name = f"{machine.name}-{role}"
         self.log = folder / f"{self.name}.log"
         self._folder = folder
-        self._core = core
+        self._seeds = seeds
+        self._machine_losses = machine_losses
         self._process: asyncio.subprocess.Process | None = None
-        self._starts = 0
+        # Whether the next start is the first one of the whole system.
+        self.is_first_start = True
 
     @property
     def unreachable_hosts_file(self) -> Path:
         """The file that lists the addresses this machine cannot reach."""
         return self._folder / f"{self.machine.name}.cut"
 
+    @property
+    def data_directory(self) -> Path:
+        """The folder that stands for the program's disk."""
+        return self._folder / f"{self.name}.data"
+
+    def write_unreachable_hosts(self, hosts: Iterable[str]) -> None:
+        """Replaces the file as a whole: the machine's programs poll it."""
+        written = self.unreachable_hosts_file.with_suffix(".next")
+        written.write_text("\n".join(sorted(hosts)))
+        written.replace(self.unreachable_hosts_file)
+
     async def start(self) -> None:
         """Starts the program, with the data directory of its previous start if there is one."""
         data = ""
         if self.role != "proxy":
-            path = self._folder / f"{self.name}.data"
-            path.mkdir(exist_ok=True)
-            data = str(path)
+            self.data_directory.mkdir(exist_ok=True)
+            data = str(self.data_directory)
         config = self._folder / f"{self.name}.conf"
-        write_config(config, self.machine, self._core, data, self._starts == 0)
-        self._starts += 1
+        write_config(
+            config, self.machine, self._seeds, data, self.is_first_start, self._machine_losses
+        )
+        self.is_first_start = False
         with self.log.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -66,6 +89,13 @@
         """Whether the program exited without a call of `kill`."""
         return self._process is not None and self._process.returncode is not None
 
+    async def wait(self, seconds: float) -> None:
+        """Waits until the program has ended by itself, and kills it after the given time."""
+        if self._process is not None:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._process.wait(), seconds)
+        await self.kill()
+
     async def kill(self) -> None:
         """Kills the program and waits until it has exited."""
         process, self._process = self._process, None
@@ -98,12 +128,12 @@
         for node in self.nodes:
             await node.kill()
 
-    def _unreachable_hosts_file(self, host: str) -> Path:
-        return next(node.unreachable_hosts_file for node in self.nodes if node.machine.host == host)
+    def _find_node(self, host: str) -> Node:
+        return next(node for node in self.nodes if node.machine.host == host)
 
     def set_partitioned(self, first_host: str, second_host: str, is_partitioned: bool) -> None:
         """Partitions two addresses from each other, or reconnects them."""
         for source, destination in ((first_host, second_host), (second_host, first_host)):
             hosts = self._unreachable_hosts.setdefault(source, set())
             (hosts.add if is_partitioned else hosts.discard)(destination)
-            self._unreachable_hosts_file(source).write_text("\n".join(sorted(hosts)))
+            self._find_node(source).write_unreachable_hosts(hosts)
--- a/tools/soak/layout.py
+++ b/tools/soak/layout.py
@@ -12,6 +12,7 @@
     "ZONES",
     "Machine",
     "make_configuration",
+    "make_core_machines",
     "make_machines",
     "write_config",
 ]
@@ -41,7 +42,6 @@
 limits.memory-mb=300
 limits.max-file-descriptors=4000
 heartbeat-interval-ms=1500
-fault-tolerance.machine-losses=1
 """
 
 
@@ -69,14 +69,24 @@
         return _FIRST_PORT + 2
 
 
+def _find_network() -> str:
+    """The first three numbers of the addresses; by process id, so that two soak tests can run."""
+    return f"127.{192 + os.getpid() // 250 % 60}.{1 + os.getpid() % 250}"
+
+
+def make_core_machines(count: int) -> list[Machine]:
+    """Returns core machines, spread over the zones."""
+    network = _find_network()
+    return [
+        Machine(f"core-{number}", f"{network}.{10 + number}", ZONES[number % len(ZONES)], "")
+        for number in range(count)
+    ]
+
+
 def make_machines() -> tuple[list[Machine], list[Machine]]:
     """Returns the core machines and the machines with a target, one per service and zone."""
-    # The process id selects the loopback addresses, so that two soak tests can run at once.
-    network = f"127.{192 + os.getpid() // 250 % 60}.{1 + os.getpid() % 250}"
-    core = [
-        Machine(f"core-{number}", f"{network}.{10 + number}", zone, "")
-        for number, zone in enumerate(ZONES)
-    ]
+    network = _find_network()
+    core = make_core_machines(len(ZONES))
     target_machines = [
         Machine(f"side-{service}-{zone}", f"{network}.{20 + 10 * kind + number}", zone, service)
         for kind, service in enumerate(SERVICES)
@@ -86,10 +96,15 @@
 
 
 def write_config(
-    path: Path, machine: Machine, core: list[Machine], data_directory: str, is_first: bool
+    path: Path,
+    machine: Machine,
+    seed_machines: list[Machine],
+    data_directory: str,
+    is_first: bool,
+    machine_losses: int = 1,
 ) -> None:
     """Writes the config file of one program; `data_directory` is empty for a proxy."""
-    seeds = ",".join(f"{seed.host}:{seed.control_port}" for seed in core)
+    seeds = ",".join(f"{seed.host}:{seed.control_port}" for seed in seed_machines)
     lines = [
         f"node-name={machine.name}",
         f"zone={machine.zone}",
@@ -99,6 +114,7 @@
         f"internal-port-range={_FIRST_PORT + 4},{_FIRST_PORT + 12}",
         f"seed-nodes={seeds}",
         f"initial-start={str(is_first).lower()}",
+        f"fault-tolerance.machine-losses={machine_losses}",
         f"listen-addresses.control-plane={machine.host}:{machine.control_port}",
     ]
     if data_directory:
