Read registers from a majority without a ballot: reads no longer outbid anybody

What callers saw: reads of the configuration ended in 503 for seconds while a majority of the stores was up and in contact, without any fault, the more clients and registries the worse; changes were not acknowledged beside them.

Cause: a read was a ballot. It wrote a promise to disk at every store and took the promise from every other read and change of that register, so five registries that read were five proposers that outbid each other; and clients of one registry queued, a ballot each. The stores' own rounds did the same for every register after a start.

A read now asks the members for what they accepted, without a promise and without a write.

Why it holds under faults: core_faults now reads at random machines between orders, in every run of test_membership_safety.

--- a/marblefold/register_store/acceptor.py
+++ b/marblefold/register_store/acceptor.py
@@ -130,14 +130,21 @@
         if ballot <= current.promised:
             return self._refuse(Refusal.PROMISED_HIGHER, call.register)
         self._store_accepted(call.register, current._replace(promised=ballot))
-        # A promise above the accepted ballot tells the proposer not to count
-        # the value as accepted.
-        reported = (
-            current
-            if call.register in self._unproven
-            else current._replace(promised=current.ballot)
-        )
-        return self._agree([pack_accepted_state(call.register, reported)])
+        return self._agree([self._report_state(call.register, current)])
+
+    def describe(self, call: messages_pb2.StoreCall) -> messages_pb2.StoreAnswer:
+        """Returns the accepted state without a promise: changes nothing and writes nothing.
+
+        The value is left out if the caller names the ballot that it was accepted under.
+        """
+        refusal = self._find_refusal(call)
+        if refusal:
+            return self._refuse(refusal, call.register)
+        current = self.accepted_states.get(call.register, NO_ACCEPTED_STATE)
+        if current.ballot == Ballot.read(call.ballot):
+            current = current._replace(value=b"", orders=())
+        accepted = self._report_state(call.register, current)
+        return messages_pb2.StoreAnswer(agreed=True, accepted=[accepted])
 
     def accept(self, call: messages_pb2.StoreCall) -> messages_pb2.StoreAnswer:
         """Accepts a value if its ballot is not below the promised one."""
@@ -258,6 +265,13 @@
         )
         return Refusal.PAST_GENERATION if is_lost else Refusal.NONE
 
+    def _report_state(self, register: str, state: AcceptedState) -> messages_pb2.Accepted:
+        """A promise above the accepted ballot says not to count the value as accepted."""
+        is_proven = register not in self._unproven
+        return pack_accepted_state(
+            register, state._replace(promised=state.ballot) if is_proven else state
+        )
+
     def _store_accepted(self, register: str, state: AcceptedState) -> None:
         self._write_register(register, state)
         self.accepted_states[register] = state
--- a/marblefold/register_store/member_changes.py
+++ b/marblefold/register_store/member_changes.py
@@ -16,7 +16,7 @@
 from marblefold.register_store.changes import change_view
 from marblefold.register_store.peer_call_kinds import CallKind
 from marblefold.register_store.peer_calls import StorePeers
-from marblefold.register_store.reconciliation import Reconciler
+from marblefold.register_store.replicated_registers import ReplicatedRegisters
 from marblefold.register_store.store_timing import StoreTiming
 from marblefold.register_store.view import View
 
@@ -35,14 +35,14 @@
         self,
         acceptor: Acceptor,
         peers: StorePeers,
-        reconciler: Reconciler,
+        registers: ReplicatedRegisters,
         machine_losses: int,
         timing: StoreTiming,
     ) -> None:
         self.is_leaving = False
         self._acceptor = acceptor
         self._peers = peers
-        self._reconciler = reconciler
+        self._registers = registers
         # A majority must be left when so many machines lose their disks at once; the
         # first view has only as many members as there are seeds.
         self._wanted_members = 2 * machine_losses + 1
@@ -143,11 +143,11 @@
         if len(agreed) + 1 < view.majority:
             return False
         if self._reconciled_view != view:
-            await self._reconciler.reconcile_all()
+            await self._registers.reconcile_all()
             self._reconciled_view = view
         if self._acceptor.view != view:
             return False
-        state = await self._reconciler.propose(VIEW_REGISTER, change_view(view, following))
+        state = await self._registers.change(VIEW_REGISTER, change_view(view, following))
         # Views are only ever replaced by later ones, so the known view is never None again.
         newest = self._acceptor.view or view
         log.info("view changed", gone=removed, members=list(newest.members), view=newest.number)
--- a/marblefold/register_store/peer_call_kinds.py
+++ b/marblefold/register_store/peer_call_kinds.py
@@ -11,6 +11,8 @@
     # Phase one and phase two of a ballot (Paxos prepare and accept).
     PREPARE = "prepare"
     ACCEPT = "accept"
+    # Asks for the accepted state of one register, without a promise.
+    STATE = "state"
     # A member that may have lost its disk asks for all accepted states.
     READ = "read"
     # A store outside the view asks to become a member.
--- a/marblefold/register_store/peer_calls.py
+++ b/marblefold/register_store/peer_calls.py
@@ -40,6 +40,8 @@
     # Callers send only chosen views, so a newer one is adopted.
     if call.view:
         acceptor.learn_view(read_view(call.view))
+    if call.kind == CallKind.STATE:
+        return acceptor.describe(call)
     if call.kind not in _DURABLE_CALL_KINDS:
         return None
     acceptor.rewrite_uncertain_records()
--- a/marblefold/register_store/program.py
+++ b/marblefold/register_store/program.py
@@ -56,7 +56,7 @@
         self._replica = Replica(
             self._acceptor, self._peers, self._proposer, self._chosen, seeds, config.machine_losses
         )
-        self._service = RegisterService(self._acceptor, self._peers, self._proposer, self._replica)
+        self._service = RegisterService(self._replica.registers)
         self._stop = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
 
--- a/marblefold/register_store/replica.py
+++ b/marblefold/register_store/replica.py
@@ -15,7 +15,7 @@
 from marblefold.register_store.peer_call_kinds import CallKind, Refusal
 from marblefold.register_store.peer_calls import StorePeers, answer_call
 from marblefold.register_store.proposer import Proposer
-from marblefold.register_store.reconciliation import Reconciler
+from marblefold.register_store.replicated_registers import ReplicatedRegisters
 from marblefold.register_store.state_recovery import is_read_quorum
 from marblefold.register_store.store_timing import REAL_TIMING, StoreTiming
 from marblefold.register_store.view import read_view
@@ -46,8 +46,8 @@
         self._seeds = seeds
         self._timing = timing
         self._anti_entropy = AntiEntropy(acceptor, chosen, self._ask_all, timing)
-        self._reconciler = Reconciler(acceptor, proposer, peers, self._anti_entropy)
-        self._members = MemberChanges(acceptor, peers, self._reconciler, machine_losses, timing)
+        self.registers = ReplicatedRegisters(acceptor, proposer, peers, self._anti_entropy, timing)
+        self._members = MemberChanges(acceptor, peers, self.registers, machine_losses, timing)
         self._unreconciled: set[str] | None = None
         # Ballots accepted here but not known to be chosen, as of the previous round.
         self._unconfirmed: dict[str, Ballot] = {}
@@ -86,7 +86,7 @@
 
     def learn_chosen(self, register: str, state: AcceptedState) -> None:
         """Stores a state that is known to be chosen."""
-        self._reconciler.learn_chosen(register, state)
+        self.registers.learn_chosen(register, state)
 
     def answer(self, call: messages_pb2.StoreCall) -> messages_pb2.StoreAnswer:
         """Returns the answer to another store's call of any kind."""
@@ -112,7 +112,7 @@
             await self._read()
         if acceptor.voting_status is VotingStatus.VOTING:
             if acceptor.has_pending_view:
-                await self._reconciler.reconcile(VIEW_REGISTER)
+                await self.registers.reconcile(VIEW_REGISTER)
             self._note_unconfirmed()
             await self._reconcile_after_start()
             await self._members.start_next_change()
@@ -186,7 +186,7 @@
             self._unreconciled, key=lambda _register: self._timing.uniform(0, 1)
         ):
             if not self._anti_entropy.is_known_chosen(register):
-                await self._reconciler.reconcile(register)
+                await self.registers.reconcile(register)
             self._unreconciled.discard(register)
 
     def _note_unconfirmed(self) -> None:
--- a/tests/core_faults.py
+++ b/tests/core_faults.py
@@ -7,6 +7,8 @@
 import asyncio
 
 from marblefold.errors import MeshError
+from marblefold.inner_protocol.messages import messages_pb2
+from marblefold.register_store.call_kinds import Outcome, RegisterCallKind
 from marblefold.register_store.changes import set_configuration
 from tests.simulated_core import Core
 
@@ -119,7 +121,8 @@
     async def _order(self):
         running = set()
         while True:
-            running.add(self.core.loop.create_task(self.order_once()))
+            request = self.read_once if self.random.random() < 0.3 else self.order_once
+            running.add(self.core.loop.create_task(request()))
             await asyncio.sleep(self.random.uniform(0.01, 0.12))
             for task in [task for task in running if task.done()]:
                 running.discard(task)
@@ -150,6 +153,31 @@
         self.acknowledged = max(self.acknowledged, state.number)
         return True
 
+    async def read_once(self):
+        """Reads at a random machine; what was acknowledged before must be shown."""
+        up = [each for each in self.core.machines.values() if each.is_up and each.acceptor.view]
+        if not up:
+            return False
+        floor, machine = self.acknowledged, self.random.choice(up)
+        call = messages_pb2.RegisterCall(kind=RegisterCallKind.DESCRIBE, register="configuration")
+        try:
+            answer = await machine.execute(call)
+        except asyncio.CancelledError:
+            return False
+        except BaseException as error:
+            if type(error).__name__ != "PowerLost":
+                raise
+            return False
+        if answer.outcome != Outcome.APPLIED:
+            return False
+        assert answer.number >= floor, f"a read showed an older record; {self.describe()}"
+        if answer.number:
+            first = self.values.setdefault(answer.number, answer.value)
+            assert first == answer.value, f"a read showed another record; {self.describe()}"
+        # Later reads show nothing older.
+        self.acknowledged = max(self.acknowledged, answer.number)
+        return True
+
     # -- faults
 
     def _count_lost(self):
--- a/tests/simulated_core.py
+++ b/tests/simulated_core.py
@@ -139,7 +139,7 @@
             self.acceptor, peers, self.proposer, ChosenRegisters(), self.seeds, core.losses, timing
         )
         self.peers = peers
-        self.service = RegisterService(self.acceptor, peers, self.proposer, self.replica)
+        self.service = RegisterService(self.replica.registers)
         self._spawn(self.replica.run())
 
     def stop(self):
--- a/tests/simulated_machines.py
+++ b/tests/simulated_machines.py
@@ -100,7 +100,7 @@
             peers, f"{self.name}/{self.acceptor.generation}", clock=self.cluster.clock
         )
         self.replica = Replica(self.acceptor, peers, proposer, self.chosen, names)
-        service = RegisterService(self.acceptor, peers, proposer, self.replica)
+        service = RegisterService(self.replica.registers)
         # The real program answers, without its sockets and files.
         self.program = StoreProgram.__new__(StoreProgram)
         vars(self.program).update(_acceptor=self.acceptor, _chosen=self.chosen, _service=service)
--- a/tests/test_unanswered_reads.py
+++ b/tests/test_unanswered_reads.py
@@ -17,6 +17,8 @@
 READ_PAUSE_SECONDS = 0.1
 # A registry answers its caller within this time, by 503 if no store has answered.
 ANSWER_SECONDS = 0.9
+# After this time without an answer a registry asks a second store, which is one more proposer.
+HEDGE_DELAY_SECONDS = 0.4
 # Time within which a core grows to its full size, or takes a lost member for lost (catch-up-s).
 CATCH_UP_SECONDS = 6.0
 # Time after the last start within which every registry answers again (contact-window-ms).
@@ -142,3 +144,38 @@
         assert max(late, default=0.0) < RECOVERY_SECONDS, late
 
     core.run(run_scenario())
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_racing_operators_are_answered_in_time_while_two_of_five_say_nothing(seed):
+    """A ballot that one store refuses must not wait for the stores that are down."""
+    core = make_core(seed)
+    latencies = []
+
+    async def change_repeatedly(machine, numbers):
+        for number in numbers:
+            began_at = core.loop.time()
+            call = messages_pb2.RegisterCall(
+                kind=RegisterCallKind.CONFIGURATION,
+                register=REGISTER,
+                number=number,
+                value=machine.address.encode(),
+            )
+            answer = await machine.execute(call)
+            latencies.append(core.loop.time() - began_at)
+            assert answer.outcome != Outcome.UNKNOWN
+            await asyncio.sleep(CHANGE_INTERVAL_SECONDS)
+
+    async def run_scenario():
+        await asyncio.sleep(CATCH_UP_SECONDS)
+        silent = core.random.sample(sorted(core.view().members), 2)
+        for address in silent:
+            core.cut(address)
+        rest = [machine for name, machine in core.machines.items() if name not in silent]
+        await asyncio.gather(
+            change_repeatedly(rest[0], range(1, 60, 2)),
+            change_repeatedly(rest[1], range(2, 60, 2)),
+        )
+
+    core.run(run_scenario())
+    assert max(latencies) < HEDGE_DELAY_SECONDS
