End a phase of a ballot that a store refused soon, not after 0.7 s

With two of five stores down without a sign, a phase that one store refused had no majority and could not be given up either: it waited out its 0.7 s, nearly all the time that a registry has for its caller, and after 0.4 s the registry asked a second store, one more proposer.

--- a/marblefold/register_store/ballot_phase.py
+++ b/marblefold/register_store/ballot_phase.py
@@ -5,12 +5,11 @@
 from marblefold.inner_protocol.messages import messages_pb2
 from marblefold.register_store.concurrent_calls import ConcurrentCalls, PeerCaller, StoreReply
 from marblefold.register_store.peer_call_kinds import Refusal
+from marblefold.register_store.phase_deadline import PhaseDeadline
 from marblefold.register_store.view import read_view
 
 __all__ = ["BallotPhase"]
 
-_PHASE_TIMEOUT_SECONDS = 0.7
-
 
 class BallotPhase:
     """Collects the agreeing answers of one phase, and why others refused."""
@@ -27,13 +26,15 @@
     async def run(self, names: list[str], call: messages_pb2.StoreCall) -> None:
         """Calls the stores. The calls that remain go on: each that arrives makes one more copy."""
         calls = ConcurrentCalls(self._peers, names, call)
-        end = self._clock() + _PHASE_TIMEOUT_SECONDS
+        deadline = PhaseDeadline(self._clock)
         while calls.pending_count and self._is_undecided(calls.pending_count):
-            remaining = end - self._clock()
+            remaining = deadline.remaining_seconds()
             if remaining <= 0:
                 return
             for reply in await calls.next_replies(remaining):
                 self._take_reply(reply)
+            if self.was_outbid:
+                deadline.expect_end()
 
     def _is_undecided(self, pending_count: int) -> bool:
         return len(self.agreed) < self._quorum <= len(self.agreed) + pending_count
--- a/tests/test_store_safety.py
+++ b/tests/test_store_safety.py
@@ -37,7 +37,7 @@
         self.patches = contextlib.ExitStack()
         self.patches.enter_context(mock.patch("marblefold.register_store.generations.os", counted))
         self.patches.enter_context(
-            mock.patch("marblefold.register_store.ballot_phase._PHASE_TIMEOUT_SECONDS", 1e6)
+            mock.patch("marblefold.register_store.phase_deadline._PHASE_TIMEOUT_SECONDS", 1e6)
         )
         self.loop = asyncio.new_event_loop()
         self.network = Network()
