Changes of a register that wait at the same store share a ballot

A store ran one ballot a register at a time and one change a ballot, so a change behind others waited for a ballot each; the swap of a lost member, which first settles every register, was held up by it for seconds while operators changed the configuration (known red: a view of five without an answer after two more losses; here a view of three as well).

Changes that wait are now applied one after the other in one ballot. A fenced change names a number that was chosen before it was asked for, so at most one of them takes effect in a ballot.

--- a/marblefold/register_store/proposer.py
+++ b/marblefold/register_store/proposer.py
@@ -19,7 +19,11 @@
 
 __all__ = ["Proposer"]
 
-_RETRY_DELAY_RANGE_SECONDS = (0.005, 0.04)
+_MIN_RETRY_DELAY_SECONDS = 0.005
+# The first retry comes soon: the promise that was in the way may be an old one. With each
+# further one the range doubles, so that one of several proposers gets through.
+_FIRST_RETRY_DELAY_SECONDS = 0.04
+_MAX_RETRY_DELAY_SECONDS = 0.08
 
 
 class _BallotEnd(NamedTuple):
@@ -29,8 +33,24 @@
     state: AcceptedState | None = None
 
 
+class _Request:
+    """A change that a caller waits for, and what a majority held after the ballot with it."""
+
+    def __init__(self, change: Change) -> None:
+        self.change = change
+        self.state: AcceptedState | None = None
+
+
+class _RegisterQueue:
+    """The changes of one register that wait for a ballot; one ballot runs at a time."""
+
+    def __init__(self) -> None:
+        self.lock = asyncio.Lock()
+        self.waiting: list[_Request] = []
+
+
 class Proposer:
-    """Proposes the changes of each register one after the other."""
+    """Proposes changes; those of one register that wait at the same time share a ballot."""
 
     def __init__(
         self,
@@ -45,33 +65,52 @@
         self._clock = clock
         self.statistics = RegisterStatistics()
         self._counter = 0
-        self._register_locks: dict[str, asyncio.Lock] = {}
+        self._queues: dict[str, _RegisterQueue] = {}
 
     async def change(self, register: str, change: Change, seconds: float) -> AcceptedState:
         """Applies the change and returns the state that a majority accepted.
 
+        Other changes that waited for the same ballot may be part of that state.
         seconds: how long to retry; at least one ballot is run.
         Raises a MeshError if no majority answers in time, or no view is known.
         """
         asked_at = self._clock()
-        end = asked_at + seconds
-        lock = self._register_locks.setdefault(register, asyncio.Lock())
-        # Concurrent ballots of one proposer would only outbid each other.
-        async with lock:
-            self.statistics.note_wait(self._clock() - asked_at)
-            while True:
-                view = self._peers.current_view()
-                if view is None:
-                    raise MeshError("propose", "no view known")
-                began_at = self._clock()
-                result, state = await self._run_ballot(view, register, change)
-                self.statistics.count_ballot(register, result, self._clock() - began_at)
-                if state is not None:
-                    return state
-                delay = random.uniform(*_RETRY_DELAY_RANGE_SECONDS)
-                if self._clock() + delay >= end:
-                    raise MeshError("propose", f"no majority for {register}: {result}")
-                await self._sleep(delay)
+        queue = self._queues.setdefault(register, _RegisterQueue())
+        request = _Request(change)
+        queue.waiting.append(request)
+        try:
+            # Concurrent ballots of one proposer would only outbid each other.
+            async with queue.lock:
+                self.statistics.note_wait(self._clock() - asked_at)
+                # Otherwise the ballot of the caller before included this change.
+                if request.state is None:
+                    request.state = await self._propose(register, queue, asked_at + seconds)
+        finally:
+            if request in queue.waiting:
+                queue.waiting.remove(request)
+        return request.state
+
+    async def _propose(self, register: str, queue: _RegisterQueue, end: float) -> AcceptedState:
+        """Runs ballots with all changes that wait, until one is won or the time is up."""
+        longest_delay = _FIRST_RETRY_DELAY_SECONDS
+        while True:
+            view = self._peers.current_view()
+            if view is None:
+                raise MeshError("propose", "no view known")
+            began_at = self._clock()
+            requests = list(queue.waiting)
+            result, state = await self._run_ballot(view, register, _combine(requests))
+            self.statistics.count_ballot(register, result, self._clock() - began_at)
+            if state is not None:
+                for request in requests:
+                    request.state = state
+                queue.waiting = [each for each in queue.waiting if each.state is None]
+                return state
+            delay = random.uniform(_MIN_RETRY_DELAY_SECONDS, longest_delay)
+            longest_delay = min(2.0 * longest_delay, _MAX_RETRY_DELAY_SECONDS)
+            if self._clock() + delay >= end:
+                raise MeshError("propose", f"no majority for {register}: {result}")
+            await self._sleep(delay)
 
     async def _run_ballot(self, view: View, register: str, change: Change) -> _BallotEnd:
         self._counter += 1
@@ -132,6 +171,22 @@
         return phase
 
 
+def _combine(requests: list[_Request]) -> Change:
+    """The changes one after the other.
+
+    A change that is fenced by a number names one that was chosen before it was asked for, so
+    at most one of them takes effect in a ballot: the state after all of them tells each
+    caller as much as the state after its own.
+    """
+
+    def change(content: RegisterContent) -> RegisterContent:
+        for request in requests:
+            content = request.change(content)
+        return content
+
+    return change
+
+
 def _drop_lost_promises(
     answers: dict[str, messages_pb2.StoreAnswer],
 ) -> dict[str, messages_pb2.StoreAnswer]:
