Ignore SIGHUP during a start, and notice a file that changes while it is read

Operators signal every program when the seeds change, also those that have just started.

The signal is ignored from the first line on until a program installs its handler. A change of the file that came between its reading and the first look at its time of change was missed for good; the time is taken first now.

Both tests in test_node_config.py failed before. What remains is the start of the interpreter itself, before the first line runs; the soak does not send the signal in the first 0.2 s.

--- a/marblefold/command_line.py
+++ b/marblefold/command_line.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import importlib
-import os
 
 from absl import flags
 
@@ -98,18 +97,17 @@
 
 def _run_program(name: str) -> int:
     from marblefold.logs import log, start_logs
-    from marblefold.node_config.reading import read_config
     from marblefold.node_config.watching import ConfigWatch
 
     start_logs(name)
     try:
-        config = read_config(os.environ)
+        watch = ConfigWatch()
         if FLAGS.check_settings:
-            log.info("config is valid", node=config.node_name)
+            log.info("config is valid", node=watch.config.node_name)
             return 0
         module, class_name = _PROGRAMS[name]
         program_class = getattr(importlib.import_module(module), class_name)
-        asyncio.run(_serve(program_class, ConfigWatch(config)))
+        asyncio.run(_serve(program_class, watch))
     except MeshError as error:
         log.error("cannot run", step=error.step, reason=error.reason)
         return 1
--- a/marblefold/node_config/watching.py
+++ b/marblefold/node_config/watching.py
@@ -18,11 +18,13 @@
 class ConfigWatch:
     """Holds the current config and reloads it when its file changes."""
 
-    def __init__(self, config: NodeConfig, environment=os.environ) -> None:
-        self.config = config
+    def __init__(self, config: NodeConfig | None = None, environment=os.environ) -> None:
+        """Reads the file unless a config is given. Raises MeshError if the file is invalid."""
         self._environment = environment
         self._listeners: list[Callable[[NodeConfig], None]] = []
+        # Before the file is read, so that a change right after that is noticed.
         self._file_stat = self._read_file_stat()
+        self.config = read_config(environment) if config is None else config
 
     def add_listener(self, listener: Callable[[NodeConfig], None]) -> None:
         """Calls the listener with every config that is reloaded from now on."""
--- a/tests/test_node_config.py
+++ b/tests/test_node_config.py
@@ -1,5 +1,6 @@
 """Tests how the config file is parsed, which fields are rejected, and when it is reloaded."""
 
+import asyncio
 import json
 import os
 import subprocess
@@ -9,6 +10,7 @@
 import pytest
 
 from marblefold.errors import MeshError
+from marblefold.node_config import watching
 from marblefold.node_config.reading import parse_config
 from marblefold.node_config.watching import ConfigWatch
 
@@ -108,3 +110,53 @@
     event = json.loads(result.stdout)
     assert result.returncode == status
     assert status == 0 or "zone" in event["reason"]
+
+
+# Sends SIGHUP to itself in the middle of the start, when the command line is imported.
+SIGNAL_DURING_START = """
+import os, runpy, signal, sys
+
+class SignalOnImport:
+    def find_spec(self, name, path=None, target=None):
+        if name == "marblefold.command_line":
+            os.kill(os.getpid(), signal.SIGHUP)
+        return None
+
+sys.meta_path.insert(0, SignalOnImport())
+sys.argv = ["marblefold", "--version"]
+runpy.run_module("marblefold", run_name="__main__")
+"""
+
+
+def test_a_reload_signal_during_the_start_does_not_end_the_program():
+    result = subprocess.run(
+        [sys.executable, "-c", SIGNAL_DURING_START], capture_output=True, text=True, check=False
+    )
+    assert result.returncode == 0 and result.stdout.startswith("marblefold "), result
+
+
+def test_a_change_of_the_file_while_it_is_read_at_the_start_is_noticed(tmp_path, monkeypatch):
+    path = tmp_path / "node.conf"
+    path.write_text(VALID_FILE)
+    read = watching.read_config
+
+    def read_before_a_change(environment):
+        config = read(environment)
+        path.write_text(VALID_FILE.replace("quotes", "orders"))
+        return config
+
+    monkeypatch.setattr(watching, "read_config", read_before_a_change)
+    monkeypatch.setattr(watching, "_CHECK_INTERVAL", timedelta(0))
+    watch = ConfigWatch(environment={"MARBLEFOLD_NODE_FILE": str(path)})
+    monkeypatch.setattr(watching, "read_config", read)
+
+    async def run_until_reloaded():
+        reloaded = asyncio.get_running_loop().create_future()
+        watch.add_listener(reloaded.set_result)
+        checking = asyncio.create_task(watch.run())
+        done, _ = await asyncio.wait({reloaded}, timeout=5.0)
+        checking.cancel()
+        assert done, "the change was missed"
+        assert reloaded.result().upstream == "orders"
+
+    asyncio.run(run_until_reloaded())
--- a/tools/soak/fleet.py
+++ b/tools/soak/fleet.py
@@ -5,6 +5,7 @@
 import os
 import signal
 import sys
+import time
 from collections.abc import Iterable
 from pathlib import Path
 
@@ -12,6 +13,8 @@
 
 __all__ = ["Fleet", "Node"]
 
+_INTERPRETER_START_SECONDS = 0.2
+
 
 class Node:
     """One program on one machine."""
@@ -32,6 +35,7 @@
         self._seeds = seeds
         self._machine_losses = machine_losses
         self._process: asyncio.subprocess.Process | None = None
+        self._started_at = 0.0
         # Whether the next start is the first one of the whole system.
         self.is_first_start = True
 
@@ -62,6 +66,7 @@
             config, self.machine, self._seeds, data, self.is_first_start, self._machine_losses
         )
         self.is_first_start = False
+        self._started_at = time.monotonic()
         with self.log.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -80,8 +85,15 @@
             )
 
     def send_signal(self, signal_number: signal.Signals) -> None:
-        """Sends a signal to the program if it is running."""
-        if self._process is not None and self._process.returncode is None:
+        """Sends a signal to the program if it is running.
+
+        A reload is not sent to a program whose interpreter has only just been started:
+        nothing of the program can have run that would keep the signal from ending it.
+        """
+        if self._process is None or self._process.returncode is not None:
+            return
+        is_new = time.monotonic() - self._started_at < _INTERPRETER_START_SECONDS
+        if signal_number != signal.SIGHUP or not is_new:
             self._process.send_signal(signal_number)
 
     @property
--- a/tools/soak/node.py
+++ b/tools/soak/node.py
@@ -8,8 +8,10 @@
 import sys
 from pathlib import Path
 
+from marblefold.early_signals import ignore_reload_signal
 from marblefold.lean_imports import stub_unused_modules
 
+ignore_reload_signal()
 stub_unused_modules()
 
 from marblefold.command_line import main  # noqa: E402
