Registries count and log their calls to the stores; records and platform tasks move out

How often a call was sent to a second store, and how many got no answer, was among the questions that the logs left open. 'store calls' is logged each ten seconds in which there were any, as 'register statistics' of the stores (statistics_log.py serves both).

No logic changed.

--- a/marblefold/register_store/program.py
+++ b/marblefold/register_store/program.py
@@ -25,11 +25,11 @@
 from marblefold.register_store.register_files import RegisterFiles
 from marblefold.register_store.register_service import RegisterService
 from marblefold.register_store.replica import Replica
+from marblefold.statistics_log import log_statistics
 
 __all__ = ["StoreProgram", "open_acceptor"]
 
 _DISK_RETRY_INTERVAL_SECONDS = 0.3
-_STATISTICS_INTERVAL_SECONDS = 10.0
 # Leaves time within the termination grace period for proposals in progress to end.
 _HANDOVER_TIMEOUT_SECONDS = 4.0
 
@@ -75,7 +75,11 @@
         )
         tasks = [
             loop.create_task(background)
-            for background in (self._watch.run(), self._replica.run(), self._log_statistics())
+            for background in (
+                self._watch.run(),
+                self._replica.run(),
+                log_statistics("register statistics", self._proposer.statistics),
+            )
         ]
         await self._stop.wait()
         await self._replica.hand_over(_HANDOVER_TIMEOUT_SECONDS)
@@ -85,13 +89,6 @@
         for task in tasks:
             task.cancel()
 
-    async def _log_statistics(self) -> None:
-        while True:
-            await asyncio.sleep(_STATISTICS_INTERVAL_SECONDS)
-            report = self._proposer.statistics.take_report()
-            if report is not None:
-                log.info("register statistics", **report)
-
     def on_call(self, connection: PeerConnection, number: int, payload: bytes) -> None:
         """Answers a call of a store or a registry."""
         message = unpack_message(payload)
--- a/marblefold/registry/feed.py
+++ b/marblefold/registry/feed.py
@@ -1,6 +1,7 @@
 """Publishes the catalogue's changes to the followers of this registry."""
 
 import asyncio
+import math
 import time
 import zlib
 from collections.abc import Callable
@@ -9,9 +10,10 @@
 from marblefold.inner_protocol.frames import FrameKind
 from marblefold.inner_protocol.messages import messages_pb2, pack_message
 from marblefold.inner_protocol.peer_connection import PeerConnection
+from marblefold.inner_protocol.ports import REGISTRIES_PER_GATEWAY
 from marblefold.registry.catalogue import Catalogue
 
-__all__ = ["FeedPublisher"]
+__all__ = ["FeedPublisher", "estimate_gateways"]
 
 _MAX_INLINE_VALUE_BYTES = 1024
 _KEEPALIVE_INTERVAL = timedelta(seconds=1)
@@ -138,3 +140,14 @@
 
 def _call_later(seconds: float, push: Callable[[], None]) -> None:
     asyncio.get_running_loop().call_later(seconds, push)
+
+
+def estimate_gateways(follower_count: int, registry_count: int) -> int:
+    """Estimates the gateways of the mesh from the followers of one registry; at least 1.
+
+    Each gateway follows REGISTRIES_PER_GATEWAY registries at most, and every other registry
+    follows this one.
+    """
+    gateways = max(0, follower_count - (registry_count - 1))
+    followed = min(registry_count, REGISTRIES_PER_GATEWAY)
+    return max(1, math.ceil(gateways * registry_count / followed))
--- a/marblefold/registry/program.py
+++ b/marblefold/registry/program.py
@@ -1,7 +1,6 @@
 """The registry process: tracks targets and proxies, serves operators, publishes changes."""
 
 import asyncio
-import math
 import os
 import signal
 import time
@@ -10,28 +9,24 @@
 from typing import Any
 
 from marblefold.background_tasks import BackgroundTasks
-from marblefold.configuration.reading import read_configuration
-from marblefold.configuration.row_encoding import encode_rows
 from marblefold.history.recorder import HistoryRecorder
 from marblefold.http_connections.http_server import HttpServer
 from marblefold.inner_protocol.exchange import Exchange
 from marblefold.inner_protocol.frames import FrameKind
 from marblefold.inner_protocol.messages import messages_pb2, pack_message, unpack_message
 from marblefold.inner_protocol.peer_connection import PeerConnection
-from marblefold.inner_protocol.ports import REGISTRIES_PER_GATEWAY, REGISTRY, STORE, inner_address
+from marblefold.inner_protocol.ports import REGISTRY, STORE, inner_address
 from marblefold.logs import log
 from marblefold.maintenance.calls import MaintenanceCalls
-from marblefold.maintenance.coordinator import MAINTENANCE_REGISTER, MaintenanceCoordinator
+from marblefold.maintenance.coordinator import MaintenanceCoordinator
 from marblefold.membership.node import NodeMembership
-from marblefold.node_config.model import Cloud
-from marblefold.node_config.reading import NodeConfig
 from marblefold.node_config.watching import ConfigWatch
 from marblefold.program_flags import is_history_on, read_collected_spans
-from marblefold.register_store.view import read_view
 from marblefold.registry.catalogue import Catalogue
+from marblefold.registry.chosen_records import ChosenRecordHandler
 from marblefold.registry.command_router import CommandRouter
 from marblefold.registry.control_calls import ControlCalls
-from marblefold.registry.feed import FeedPublisher
+from marblefold.registry.feed import FeedPublisher, estimate_gateways
 from marblefold.registry.leader_selection import LeaderSelection
 from marblefold.registry.live_capacity import LiveCapacity
 from marblefold.registry.quorum_contact import QuorumContact
@@ -39,9 +34,10 @@
 from marblefold.registry.snapshot_parts import describe_parts
 from marblefold.registry.stall_detector import StallDetector
 from marblefold.registry.state import describe_state
-from marblefold.registry.store_client import ChosenRecord, StoreClient
+from marblefold.registry.store_client import StoreClient
 from marblefold.registry.traffic_rates import TrafficRates
 from marblefold.rehearsal.calls import RehearsalCalls
+from marblefold.statistics_log import log_statistics
 from marblefold.tracing.calls import TraceCalls
 from marblefold.tracing.collector import Collector
 
@@ -63,12 +59,10 @@
         self.store_client = StoreClient(
             inner_address(config.host, config, STORE),
             self._seed_stores,
-            self._on_record,
+            lambda record: self._records.apply(record),
             self.contact,
         )
         self._membership = NodeMembership(watch, "registry", REGISTRY)
-        self._registries: set[str] = set()
-        self._view_number = 0
         self._stall_detector = StallDetector()
         self.feed = FeedPublisher(self.catalogue, lambda: self.contact.is_held, self._count_proxies)
         self._connections: dict[PeerConnection, str] = {}
@@ -76,15 +70,13 @@
         self._leader_selection = LeaderSelection(
             self._membership,
             self._own_address,
-            lambda: self._registries,
+            lambda: self._records.registries,
             lambda: self.contact.is_held,
         )
         capacity = LiveCapacity(
             self.catalogue, self._membership, self._leader_selection, config.cloud is None
         )
-        self._platform_tasks = (
-            self._make_platform_tasks(config, config.cloud) if config.cloud is not None else []
-        )
+        self._platform_tasks = self._make_platform_tasks()
         self.maintenance = MaintenanceCoordinator(self.store_client, capacity)
         self._site_coordinator = SiteCoordinator(
             config,
@@ -99,6 +91,14 @@
         self._traffic_rates = TrafficRates()
         self._history = HistoryRecorder(config.data_directory if is_history_on() else "")
         self._history.add_to(calls)
+        self._records = ChosenRecordHandler(
+            self.catalogue,
+            self._history,
+            self.maintenance,
+            self._site_coordinator,
+            lambda store: inner_address(store.rpartition(":")[0], config, REGISTRY),
+            self._on_members,
+        )
         RehearsalCalls(self.store_client, self._describe_snapshot_parts).add_to(calls)
         self._site_coordinator.add_to(calls)
         MaintenanceCalls(self.store_client, self._zones, capacity.all_slots).add_to(calls)
@@ -126,6 +126,7 @@
         for coroutine in (
             self._watch.run(),
             self.store_client.run(),
+            log_statistics("store calls", self.store_client.statistics),
             self.feed.run(),
             self._stall_detector.run(),
             self._control_server.run(),
@@ -145,30 +146,27 @@
             await asyncio.sleep(0.02)
         tasks.cancel()
 
-    def _make_platform_tasks(
-        self, config: NodeConfig, cloud: Cloud
-    ) -> list[Coroutine[Any, Any, None]]:
-        """Creates the tasks for a platform that lists the targets: one registry reads the list."""
+    def _make_platform_tasks(self) -> list[Coroutine[Any, Any, None]]:
+        """Creates the tasks for a platform that lists the targets, if there is one."""
+        cloud = self._config.cloud
+        if cloud is None:
+            return []
         # Imported here because other deployments do not need these modules.
-        from marblefold.proxy.registry_follower import RegistryFollower
-        from marblefold.registry.peer_updates import PeerUpdates
-        from marblefold.registry.platform_list import PlatformList
-        from marblefold.registry.platform_list_sync import LEADER_REGISTER, PlatformListSync
+        from marblefold.registry.platform_tasks import make_platform_tasks
 
-        updates = PeerUpdates(
-            self.catalogue, {"target"}, lambda: self._registries - {self._own_address}
-        )
-        follower = RegistryFollower(config.node_name, list, updates)
-        list_sync = PlatformListSync(
-            PlatformList(cloud.address, cloud.rate_per_second),
+        return make_platform_tasks(
+            self._watch,
+            cloud,
             self.catalogue,
             self.store_client,
+            self._leader_selection,
             self._own_address,
-            lambda: self._leader_selection.is_leader(LEADER_REGISTER, _LEADER_STARTUP_DELAY),
-            lambda zone: self._watch.config.zone_regions.get(zone, ""),
-            config.bounds.drain_time,
+            lambda: self._records.registries,
+            _LEADER_STARTUP_DELAY,
         )
-        return [follower.run(), list_sync.run()]
+
+    def _on_members(self, members: set[str]) -> None:
+        self.store_client.stores = members
 
     def on_notification(self, connection: PeerConnection, payload: bytes) -> None:
         """Handles a one-way message of a node: a report, a subscription or a lease request."""
@@ -217,54 +215,6 @@
         )
         self._site_coordinator.report_claim_conflicts()
 
-    def _on_record(self, record: ChosenRecord) -> None:
-        """Applies a chosen record and publishes it to the followers."""
-        if record.register == "configuration":
-            self._history.record(record.number, record.value)
-            self.catalogue.put(
-                messages_pb2.Entry(
-                    kind="configuration",
-                    key="configuration",
-                    number=record.number,
-                    value=encode_rows(read_configuration(record.value)),
-                )
-            )
-        elif record.register.startswith("evacuation/"):
-            self.catalogue.put(
-                messages_pb2.Entry(
-                    kind="evacuation",
-                    key=record.register.partition("/")[2],
-                    number=record.number,
-                    value=record.value,
-                )
-            )
-        elif record.register == MAINTENANCE_REGISTER:
-            self.maintenance.apply_document(record.number, record.value)
-        elif record.register == "view":
-            self._apply_view(record)
-        else:
-            self._site_coordinator.apply_record(record.register, record.number, record.value)
-
-    def _apply_view(self, record: ChosenRecord) -> None:
-        if record.number < self._view_number:
-            return
-        self._view_number = record.number
-        members = set(read_view(record.value).members)
-        self.store_client.stores = members
-        # Registries run on the same machines as the stores.
-        registries = sorted(
-            inner_address(member.rpartition(":")[0], self._config, REGISTRY) for member in members
-        )
-        self._registries = set(registries)
-        self.catalogue.put(
-            messages_pb2.Entry(
-                kind="registries",
-                key="registries",
-                number=record.number,
-                value="\n".join(registries).encode(),
-            )
-        )
-
     def _zones(self) -> set[str]:
         return set(self._watch.config.zone_regions)
 
@@ -298,11 +248,7 @@
     def _count_proxies(self) -> int:
         if self._config.cloud is None:
             return len(self.catalogue.entries("target"))
-        # Each gateway follows REGISTRIES_PER_GATEWAY registries at most, and every other registry
-        # follows this one.
-        registries = max(1, len(self._registries))
-        gateways = max(0, self.feed.follower_count - (registries - 1))
-        return max(1, math.ceil(gateways * registries / min(registries, REGISTRIES_PER_GATEWAY)))
+        return estimate_gateways(self.feed.follower_count, max(1, len(self._records.registries)))
 
     def _seed_stores(self) -> list[str]:
         config = self._watch.config
--- a/marblefold/registry/store_client.py
+++ b/marblefold/registry/store_client.py
@@ -19,6 +19,7 @@
 from marblefold.registry.command_router import check_command, remaining_seconds
 from marblefold.registry.hedging import call_hedged
 from marblefold.registry.quorum_contact import QuorumContact
+from marblefold.registry.store_call_statistics import StoreCallStatistics
 
 __all__ = ["ChosenRecord", "StoreClient"]
 
@@ -57,6 +58,7 @@
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self.stores: set[str] = set()
+        self.statistics = StoreCallStatistics()
         self._local_store = local_store
         self._seeds = seeds
         self._on_record = on_record
@@ -84,8 +86,12 @@
             )
         )
         unanswered: set[str] = set()
+        called: set[str] = set()
+        began_at = self._clock()
+        is_answered = False
 
         async def call_store(peer: str, seconds: float) -> messages_pb2.RegisterAnswer:
+            called.add(peer)
             unanswered.add(peer)
             connection = await self._peers.connect(peer)
             answer: messages_pb2.RegisterAnswer = unpack_message(
@@ -102,8 +108,11 @@
             _CONFIGURATION_TIMEOUT_SECONDS if is_large else remaining_seconds(_CALL_TIMEOUT_SECONDS)
         )
         try:
-            return await call_hedged(peers, call_store, _HEDGE_DELAY_SECONDS, seconds)
+            answer = await call_hedged(peers, call_store, _HEDGE_DELAY_SECONDS, seconds)
+            is_answered = True
+            return answer
         finally:
+            self.statistics.count(kind, len(called), is_answered, self._clock() - began_at)
             # The next call tries the stores that did not answer this one last.
             deprioritized_until = self._clock() + _DEPRIORITIZED_SECONDS
             self._deprioritized_until.update(dict.fromkeys(unanswered, deprioritized_until))
--- a/tests/many_changes.py
+++ b/tests/many_changes.py
@@ -7,7 +7,7 @@
 from marblefold.register_store.ballots import pack_accepted_state
 from marblefold.register_store.changes import RegisterContent, set_configuration
 from marblefold.registry.catalogue import Catalogue
-from marblefold.registry.program import RegistryProgram
+from marblefold.registry.chosen_records import ChosenRecordHandler
 from marblefold.registry.quorum_contact import QuorumContact
 from marblefold.registry.store_client import StoreClient
 
@@ -91,11 +91,13 @@
         self.catalogue = Catalogue(1)
         self.notification_count = 0
         history = SimpleNamespace(record=lambda number, body: None)
-        program = SimpleNamespace(catalogue=self.catalogue, _history=history)
+        records = ChosenRecordHandler(
+            self.catalogue, history, None, None, lambda store: store, lambda members: None
+        )
         self.client = StoreClient(
             "own:1",
             list,
-            lambda record: RegistryProgram._on_record(program, record),
+            records.apply,
             QuorumContact(),
         )
 
