Recovery goes on once a read quorum has answered, not when the last call has timed out

A store that had lost its disk waited a second, in each attempt, for members that were down; with its disk gone it knows only the seeds and needs two attempts. It now gives the rest as long again as the answers until then took. An answer that is missing was always possible, so the safety of a recovery rests on the read quorum as before.

Recovery is a module of its own.

--- a/marblefold/register_store/ballot_phase.py
+++ b/marblefold/register_store/ballot_phase.py
@@ -25,7 +25,7 @@
 
     async def run(self, names: list[str], call: messages_pb2.StoreCall) -> None:
         """Calls the stores. The calls that remain go on: each that arrives makes one more copy."""
-        calls = ConcurrentCalls(self._peers, names, call)
+        calls = ConcurrentCalls(self._peers, dict.fromkeys(names, call))
         deadline = PhaseDeadline(self._clock)
         while calls.pending_count and self._is_undecided(calls.pending_count):
             remaining = deadline.remaining_seconds()
--- a/marblefold/register_store/concurrent_calls.py
+++ b/marblefold/register_store/concurrent_calls.py
@@ -1,4 +1,4 @@
-"""One call to several stores at once, whose answers are taken as they arrive."""
+"""Calls to several stores at once, whose answers are taken as they arrive."""
 
 import asyncio
 from typing import NamedTuple, Protocol
@@ -27,11 +27,14 @@
 
 
 class ConcurrentCalls:
-    """Sends a call to several stores. The calls go on if their answers are no longer awaited."""
+    """Calls several stores. The calls go on if their answers are no longer awaited."""
 
-    def __init__(self, peers: PeerCaller, names: list[str], call: messages_pb2.StoreCall) -> None:
+    def __init__(self, peers: PeerCaller, calls: dict[str, messages_pb2.StoreCall]) -> None:
+        """calls: the call for each store, by address."""
         loop = asyncio.get_running_loop()
-        self._tasks = {loop.create_task(peers.call(name, call)): name for name in names}
+        self._tasks = {
+            loop.create_task(peers.call(name, call)): name for name, call in calls.items()
+        }
         self._pending = set(self._tasks)
         for task in self._tasks:
             task.add_done_callback(_retrieve_exception)
--- a/marblefold/register_store/phase_deadline.py
+++ b/marblefold/register_store/phase_deadline.py
@@ -16,10 +16,11 @@
     another store has refused, would lose nearly all the time that its caller has.
     """
 
-    def __init__(self, clock: Callable[[], float]) -> None:
+    def __init__(self, clock: Callable[[], float], seconds: float | None = None) -> None:
+        """seconds: the time limit; that of a phase of a ballot if not given."""
         self._clock = clock
         self._began_at = clock()
-        self._end = self._began_at + _PHASE_TIMEOUT_SECONDS
+        self._end = self._began_at + (_PHASE_TIMEOUT_SECONDS if seconds is None else seconds)
         self._is_short = False
 
     def remaining_seconds(self) -> float:
--- a/marblefold/register_store/quorum_read.py
+++ b/marblefold/register_store/quorum_read.py
@@ -109,7 +109,7 @@
             register=self._register,
             ballot=self._local.ballot.pack(),
         )
-        calls = ConcurrentCalls(self._peers, list(self._view.members), call)
+        calls = ConcurrentCalls(self._peers, dict.fromkeys(self._view.members, call))
         deadline = PhaseDeadline(self._timing.clock)
         while self.chosen is None and self._may_agree(calls.pending_count):
             remaining = deadline.remaining_seconds()
--- a/marblefold/register_store/replica.py
+++ b/marblefold/register_store/replica.py
@@ -15,16 +15,13 @@
 from marblefold.register_store.peer_call_kinds import CallKind, Refusal
 from marblefold.register_store.peer_calls import StorePeers, answer_call
 from marblefold.register_store.proposer import Proposer
+from marblefold.register_store.recovery import Recovery
 from marblefold.register_store.replicated_registers import ReplicatedRegisters
-from marblefold.register_store.state_recovery import is_read_quorum
 from marblefold.register_store.store_timing import REAL_TIMING, StoreTiming
-from marblefold.register_store.view import read_view
 
 __all__ = ["Replica"]
 
 _ROUND_INTERVAL_SECONDS = 0.3
-# Each attempt may learn of a newer view or generation, which invalidates its answers.
-_MAX_READ_ATTEMPTS = 4
 
 
 class Replica:
@@ -43,10 +40,10 @@
         self._acceptor = acceptor
         self._peers = peers
         self._chosen = chosen
-        self._seeds = seeds
         self._timing = timing
         self._anti_entropy = AntiEntropy(acceptor, chosen, self._ask_all, timing)
         self.registers = ReplicatedRegisters(acceptor, proposer, peers, self._anti_entropy, timing)
+        self._recovery = Recovery(acceptor, peers, seeds, timing)
         self._members = MemberChanges(acceptor, peers, self.registers, machine_losses, timing)
         self._unreconciled: set[str] | None = None
         # Ballots accepted here but not known to be chosen, as of the previous round.
@@ -109,7 +106,8 @@
     async def _act(self) -> None:
         acceptor = self._acceptor
         if acceptor.voting_status is VotingStatus.READING and not self._members.is_leaving:
-            await self._read()
+            if await self._recovery.read():
+                self._unreconciled = None
         if acceptor.voting_status is VotingStatus.VOTING:
             if acceptor.has_pending_view:
                 await self.registers.reconcile(VIEW_REGISTER)
@@ -117,62 +115,6 @@
             await self._reconcile_after_start()
             await self._members.start_next_change()
 
-    async def _read(self) -> None:
-        """Reads all registers from a read quorum, then starts to vote."""
-        for _ in range(_MAX_READ_ATTEMPTS):
-            acceptor = self._acceptor
-            sent_with = (acceptor.view, acceptor.generation)
-            kind = CallKind.READ if acceptor.is_member else CallKind.JOIN
-            answers = await self._ask_all(
-                self._known_stores(), messages_pb2.StoreCall(kind=kind, view=acceptor.pack_view())
-            )
-            self._learn_from_answers(answers)
-            if (acceptor.view, acceptor.generation) != sent_with:
-                # The view or generation changed since the calls were sent: ask again.
-                continue
-            self._finish_reading(kind, answers)
-            return
-
-    def _learn_from_answers(self, answers: dict[str, messages_pb2.StoreAnswer]) -> None:
-        """Adopts newer views, and starts a later generation if peers recorded a later one."""
-        acceptor = self._acceptor
-        for answer in answers.values():
-            if answer.view:
-                acceptor.learn_view(read_view(answer.view))
-        if acceptor.voting_status is VotingStatus.READING:
-            for answer in answers.values():
-                acceptor.supersede_generation(answer.lives.get(acceptor.address, ""))
-
-    def _finish_reading(self, kind: CallKind, answers: dict[str, messages_pb2.StoreAnswer]) -> None:
-        acceptor = self._acceptor
-        if kind is not CallKind.READ or acceptor.voting_status is not VotingStatus.READING:
-            return
-        agreed = {peer: answer for peer, answer in answers.items() if answer.agreed}
-        view = acceptor.view
-        if view is None or not is_read_quorum(
-            view, acceptor.previous_view, acceptor.address, agreed
-        ):
-            return
-        sources = {*view.members, *(acceptor.previous_view or view).members}
-        acceptor.finish_reading([agreed[peer] for peer in agreed if peer in sources])
-        self._unreconciled = None
-        log.info(
-            "recovery finished; voting starts",
-            registers=len(acceptor.accepted_states),
-            view=view.number,
-        )
-
-    def _known_stores(self) -> list[str]:
-        """Returns the members of the present and the previous view, and the seeds.
-
-        All members of an old view may be gone, and one that just left can still be
-        read from.
-        """
-        views = [view for view in (self._acceptor.view, self._acceptor.previous_view) if view]
-        members = [peer for view in views for peer in view.members]
-        known = dict.fromkeys([*members, *self._seeds])
-        return [peer for peer in known if peer != self._acceptor.address]
-
     async def _reconcile_after_start(self) -> None:
         """After a start, determines which of the states accepted here are chosen."""
         if self._unreconciled is None:
@@ -210,7 +152,7 @@
     async def _compare(self) -> None:
         """Runs a round of anti-entropy with the other stores."""
         if self._acceptor.view is not None:
-            await self._anti_entropy.run_round(self._known_stores())
+            await self._anti_entropy.run_round(self._recovery.known_stores())
 
     async def _ask_all(
         self,
--- a/tests/test_membership_liveness.py
+++ b/tests/test_membership_liveness.py
@@ -7,7 +7,7 @@
 from marblefold.register_store.acceptor import VotingStatus
 from marblefold.register_store.changes import leave_unchanged, set_configuration
 from marblefold.register_store.peer_call_kinds import CallKind
-from tests.core_faults import ANSWER_BOUND_SECONDS, VOTE_BOUND_SECONDS
+from tests.core_faults import ANSWER_BOUND_SECONDS, CATCH_UP_SECONDS, VOTE_BOUND_SECONDS
 from tests.simulated_core import Core
 
 REGISTER = "configuration"
@@ -196,3 +196,19 @@
         assert away.acceptor.voting_status is VotingStatus.READING
 
     core.run(run_scenario())
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_store_without_its_disk_votes_before_a_silent_member_has_timed_out(seed):
+    """A call to a store that is down takes a second; the three others are enough to read from."""
+    core = Core(seed, 2, 5)
+
+    async def run_scenario():
+        await asyncio.sleep(CATCH_UP_SECONDS)
+        silent, wiped = core.random.sample(sorted(core.view().members), 2)
+        core.cut(silent)
+        core.machines[wiped].wipe()
+        core.machines[wiped].start()
+        assert await wait_until(core, lambda: wiped in core.voters(), 0.9)
+
+    core.run(run_scenario())
