Settle a register by what is known to be chosen when a read finds no agreement

A register is settled as well if a state of the ballot accepted here, or a later one, has become known to be chosen meanwhile, as with every change that operators had acknowledged.

--- a/marblefold/register_store/anti_entropy.py
+++ b/marblefold/register_store/anti_entropy.py
@@ -12,7 +12,12 @@
 from marblefold.inner_protocol.messages import messages_pb2
 from marblefold.logs import log
 from marblefold.register_store.acceptor import Acceptor
-from marblefold.register_store.ballots import AcceptedState, read_accepted_state
+from marblefold.register_store.ballots import (
+    NO_ACCEPTED_STATE,
+    AcceptedState,
+    Ballot,
+    read_accepted_state,
+)
 from marblefold.register_store.chosen_registers import ChosenRegisters
 from marblefold.register_store.peer_call_kinds import CallKind
 from marblefold.register_store.store_timing import REAL_TIMING, StoreTiming
@@ -69,9 +74,13 @@
 
     def is_known_chosen(self, register: str) -> bool:
         """Whether the state accepted here, or a newer one, is known to be chosen."""
+        accepted = self._acceptor.accepted_states.get(register, NO_ACCEPTED_STATE)
+        return self.knows_chosen(register, accepted.ballot)
+
+    def knows_chosen(self, register: str, ballot: Ballot) -> bool:
+        """Whether a state of this or a later ballot is known to be chosen."""
         known = self._chosen.states.get(register)
-        accepted = self._acceptor.accepted_states.get(register)
-        return known is not None and (accepted is None or accepted.ballot <= known.ballot)
+        return known is not None and ballot <= known.ballot
 
     def _choose_peer(self, peers: list[str]) -> str:
         return min(peers, key=lambda _peer: self._timing.uniform(0, 1))
--- a/marblefold/register_store/replicated_registers.py
+++ b/marblefold/register_store/replicated_registers.py
@@ -66,10 +66,19 @@
     async def reconcile(self, register: str) -> None:
         """Decides whether the state accepted here is chosen; a majority holds it, or a later one.
 
+        While operators change the register all the time, a read may find no moment of agreement,
+        but what they had acknowledged decides it as well.
         Raises a MeshError if no majority answers in time.
         """
-        state = await self.read(register)
         accepted = self._acceptor.accepted_states.get(register, NO_ACCEPTED_STATE)
+        if self._anti_entropy.knows_chosen(register, accepted.ballot):
+            return
+        try:
+            state = await self.read(register)
+        except MeshError:
+            if self._anti_entropy.knows_chosen(register, accepted.ballot):
+                return
+            raise
         # A minority holds it, which a read may leave undecided.
         if state.ballot < accepted.ballot:
             await self.change(register, leave_unchanged)
--- a/tests/test_membership_liveness.py
+++ b/tests/test_membership_liveness.py
@@ -1,9 +1,12 @@
 """Members lost, replaced and stopped at the worst moments of a member change."""
 
 import asyncio
+import contextlib
+import itertools
 
 import pytest
 
+from marblefold.errors import MeshError
 from marblefold.register_store.acceptor import VotingStatus
 from marblefold.register_store.changes import leave_unchanged, set_configuration
 from marblefold.register_store.peer_call_kinds import CallKind
@@ -212,3 +215,38 @@
         assert await wait_until(core, lambda: wiped in core.voters(), 0.9)
 
     core.run(run_scenario())
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_lost_members_are_replaced_while_operators_change_a_register_all_the_time(seed):
+    """With a quorum left and slow links, a read may find no moment at which all agree."""
+    core = Core(seed, 2, 5)
+    acknowledged = []
+
+    async def change_all_the_time(machine):
+        for number in itertools.count(1):
+            with contextlib.suppress(MeshError):
+                await machine.change(REGISTER, set_configuration(10 * number, b"x"))
+                acknowledged.append(number)
+            await asyncio.sleep(core.random.uniform(0.0, 0.02))
+
+    async def run_scenario():
+        await asyncio.sleep(CATCH_UP_SECONDS)
+        core.slow_share = 0.2
+        lost = core.random.sample(sorted(core.view().members), 2)
+        rest = [machine for name, machine in core.machines.items() if name not in lost]
+        for address in lost:
+            core.machines[address].wipe()
+        changes = [core.loop.create_task(change_all_the_time(machine)) for machine in rest]
+        for name in ("n:1", "o:1"):
+            start_new_machine(core, name)
+        is_whole = await wait_until(
+            core,
+            lambda: not set(lost) & set(core.view().members) and all_vote(core),
+            CATCH_UP_SECONDS,
+        )
+        for task in changes:
+            task.cancel()
+        assert is_whole and acknowledged
+
+    core.run(run_scenario())
