--- /dev/null
+++ b/review/parts2/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the second review: a small deployment on loopback, targets and clients."""
