--- a/review/parts2/target.py
+++ b/review/parts2/target.py
@@ -15,6 +15,9 @@
 from review.parts2.http import Record, call
 
 SLOTS = 9
+# A target resets connections beyond so many, and closes those that are idle for so long.
+MAX_CONNECTIONS = 110
+IDLE_SECONDS = 75
 LONG_ANSWER_BYTES = 640_000
 _NUMBERS = itertools.count(1)
 
@@ -39,6 +42,7 @@
         self.instance = f"i-{machine.name}-{next(_NUMBERS)}"
         self.state = "ready"
         self.running = 0
+        self.open_connections = self.peak_connections = self.reset_connections = 0
         self.beats = True
         self.acknowledged: dict[str, float] = {}
         self._sequence = itertools.count(1)
@@ -85,9 +89,16 @@
             await asyncio.sleep(BEAT_SECONDS)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.open_connections >= MAX_CONNECTIONS:
+            self.reset_connections += 1
+            writer.transport.abort()
+            return
+        self.open_connections += 1
+        self.peak_connections = max(self.peak_connections, self.open_connections)
         try:
             while True:
-                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+                async with asyncio.timeout(IDLE_SECONDS):
+                    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
                 first, *lines = head.rstrip("\r\n").split("\r\n")
                 headers = {n.lower(): v for n, v in (line.split(": ", 1) for line in lines)}
                 if headers.get("transfer-encoding") == "chunked":
@@ -98,12 +109,13 @@
                 else:
                     body = await reader.readexactly(int(headers.get("content-length", 0)))
                 await self._answer(reader, writer, first.split(" ")[1], headers, body)
-        except (asyncio.IncompleteReadError, OSError, ValueError):
+        except (asyncio.IncompleteReadError, OSError, ValueError, TimeoutError):
             return
         except asyncio.CancelledError:
             # The case is over.
             return
         finally:
+            self.open_connections -= 1
             writer.close()
 
     async def _answer(
@@ -117,7 +129,10 @@
             )
             return
         attempt = headers.get("attempt-id", "")
-        echo = f"Attempt-Id: {attempt}\r\nServer-Load: {self.running},0,{SLOTS}\r\n"
+        echo = (
+            f"Attempt-Id: {attempt}\r\nServer-Load: {self.running},0,{SLOTS}\r\n"
+            f"Keep-Alive: timeout={IDLE_SECONDS}\r\n"
+        )
         if headers.get("expected-instance", self.instance) != self.instance:
             writer.write(
                 f"HTTP/1.1 421 no\r\nNot-Executed: 1\r\n{echo}Content-Length: 0\r\n\r\n".encode()
