Review 2, case 7: one machine of ten freezes, as the site file has it

The first form froze one of two machines, more than the share of 0.11 that the site file names. The case now starts the ten machines of the sheet, with its slots.

--- a/review/parts2/fleet.py
+++ b/review/parts2/fleet.py
@@ -186,25 +186,28 @@
 
 
 class Fleet:
-    """Three core machines, and one machine per service and zone."""
-
-    def __init__(self, folder: Path, services: tuple[str, ...], zones=ZONES) -> None:
+    """Three core machines, and one machine per service and zone, and what `more` names beside."""
+
+    def __init__(
+        self,
+        folder: Path,
+        services: tuple[str, ...],
+        zones: tuple[str, ...] = ZONES,
+        more: tuple[tuple[str, str], ...] = (),
+    ) -> None:
+        """`more` names a service and a zone for each further machine."""
         network = find_network()
         seeds = [f"{network}.{11 + number}" for number in range(len(ZONES))]
         self.core = [
             Machine(f"core-{zone}-1", seeds[number], zone, "", seeds)
             for number, zone in enumerate(ZONES)
         ]
+        placed = [(service, zone) for service in services for zone in zones]
         self.sides = [
             Machine(
-                f"sidecar-{zone}-{kind + 1}",
-                f"{network}.{31 + 10 * kind + place}",
-                zone,
-                service,
-                seeds,
+                f"sidecar-{zone}-{number + 1}", f"{network}.{31 + number}", zone, service, seeds
             )
-            for kind, service in enumerate(services)
-            for place, zone in enumerate(zones)
+            for number, (service, zone) in enumerate([*placed, *more])
         ]
         self.stores = [Program("store", machine, folder) for machine in self.core]
         self.registries = [Program("registry", machine, folder) for machine in self.core]
